egret: the shared types, the protocols and the checks

Cause: the parts are written side by side and need one set of types, wire messages and platform functions to meet at. Ruled out: the linter as a tool of the root module (it would pull its whole dependency graph into every program).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Targets for building, running and checking egretlane. `make test` is what CI runs.
+
+MODULES := . egretlane egretctl egretlab
+BIN := $(CURDIR)/.bin
+LINT := $(BIN)/golangci-lint
+
+.PHONY: all build test check format lint unit generate demo up measure clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./egretlane ./egretctl ./egretlab
+
+test: format lint build unit
+
+format: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) fmt --diff) || exit 1; done
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) run ./...) || exit 1; done
+
+unit:
+	@./scripts/unit $(MODULES)
+
+$(LINT): tools/go.mod
+	@mkdir -p $(BIN)
+	cd tools && GOWORK=off go build -o $(LINT) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+# generate needs protoc (Debian: protobuf-compiler). Its output is committed.
+generate:
+	cd tools/gen && GOWORK=off go build -o $(BIN)/ github.com/google/wire/cmd/wire \
+		google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH=$(BIN):$$PATH protoc --go_out=. --go_opt=module=egretlane.example/egret \
+		--go-grpc_out=. --go-grpc_opt=module=egretlane.example/egret internal/*/*.proto
+	cd egretlane && $(BIN)/wire
+
+demo: build
+	@./scripts/demo
+
+up: build
+	@./scripts/up
+
+clean:
+	rm -rf .bin .run .out
--- /dev/null
+++ b/egretctl/main.go
@@ -0,0 +1,5 @@
+// Command egretctl is part of egretlane.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/egretlab/main.go
@@ -0,0 +1,5 @@
+// Command egretlab is part of egretlane.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/egretlane/main.go
@@ -0,0 +1,5 @@
+// Command egretlane is part of egretlane.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/position.go
@@ -0,0 +1,94 @@
+package egret
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Position is a place in a group's log.
+//
+// Positions order by term and then by offset. The zero Position is before all others.
+type Position struct {
+	// Term is the term in which the entry at Offset was written. It never falls along a log.
+	Term uint64
+
+	// Offset counts the entries of the log. It never falls within a term.
+	Offset uint64
+}
+
+// Compare returns -1, 0 or +1 as p is before, at or after q.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.Term, q.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Offset, q.Offset)
+}
+
+// Reaches reports whether a log that ends at p satisfies the floor q: it ends in the floor's term
+// at its offset or beyond, or it ends in a later term.
+func (p Position) Reaches(q Position) bool {
+	return p.Compare(q) >= 0
+}
+
+// IsZero reports whether p is the zero Position.
+func (p Position) IsZero() bool {
+	return p == Position{}
+}
+
+// String returns the position as term/offset.
+func (p Position) String() string {
+	return fmt.Sprintf("%d/%d", p.Term, p.Offset)
+}
+
+// Mark is a position in the log of a named group.
+type Mark struct {
+	// Group names the group.
+	Group string
+
+	// Position is the lowest position that a read in the group may be served from.
+	Position Position
+}
+
+// Floor is what a session has written or read: the highest position for each group.
+//
+// The zero Floor is empty and ready to use. A Floor is not safe for concurrent use.
+type Floor struct {
+	// marks holds at most one mark for each group, ordered by group.
+	marks []Mark
+}
+
+// At returns the session's position in the group. It is zero if the session has none.
+func (f *Floor) At(group string) Position {
+	i, found := f.find(group)
+	if !found {
+		return Position{}
+	}
+	return f.marks[i].Position
+}
+
+// Raise lifts the floor of the group to p. A lower p changes nothing.
+func (f *Floor) Raise(group string, p Position) {
+	i, found := f.find(group)
+	if !found {
+		f.marks = slices.Insert(f.marks, i, Mark{
+			Group:    group,
+			Position: p,
+		})
+		return
+	}
+	if p.Compare(f.marks[i].Position) > 0 {
+		f.marks[i].Position = p
+	}
+}
+
+// Marks returns a copy of the floor's marks, ordered by group.
+func (f *Floor) Marks() []Mark {
+	return slices.Clone(f.marks)
+}
+
+func (f *Floor) find(group string) (int, bool) {
+	return slices.BinarySearchFunc(f.marks, group, func(m Mark, name string) int {
+		return cmp.Compare(m.Group, name)
+	})
+}
