--- a/transact.go
+++ b/transact.go
@@ -127,3 +127,11 @@
 	// Load asks the lane of a member for its view.
 	Load(ctx context.Context, member string) (Load, error)
 }
+
+// Positions looks up where a group's log ends.
+type Positions interface {
+	// Confirm returns a position of the group that is at or beyond every write acknowledged
+	// before the call. The primary and another member have said, after the call began, that they
+	// have granted no later term.
+	Confirm(ctx context.Context, group string) (Position, error)
+}
