--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,74 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+func TestBackoffStaysBetweenBaseAndCap(t *testing.T) {
+	b := Backoff{
+		Base: 10 * time.Millisecond,
+		Cap:  200 * time.Millisecond,
+	}
+	want := []time.Duration{5, 10, 20, 40, 80, 100, 100}
+	for i, w := range want {
+		if got := b.Wait(i+1, 0); got != w*time.Millisecond {
+			t.Errorf("Wait(%d, 0) = %v, want %v", i+1, got, w*time.Millisecond)
+		}
+		if got := b.Wait(i+1, 0.999); got > b.Cap {
+			t.Errorf("Wait(%d, 0.999) = %v, above the cap", i+1, got)
+		}
+	}
+}
+
+func TestRatioBoundsTriesUnderTotalRefusal(t *testing.T) {
+	r := &Ratio{
+		Part:  0.1,
+		Burst: 10,
+	}
+	const requests = 1000
+	tries := 0
+	now := time.Unix(0, 0)
+	for range requests {
+		p := Plan{
+			Deadline: now.Add(time.Minute),
+			Backoff: Backoff{
+				Base: time.Millisecond,
+				Cap:  time.Millisecond,
+			},
+			Ratio: r,
+		}
+		r.First()
+		tries++
+		for {
+			if _, ok := p.Next(now, 0, false); !ok {
+				break
+			}
+			tries++
+		}
+	}
+	if limit := 1.2 * requests; float64(tries) > limit {
+		t.Errorf("%d tries for %d requests, want at most %v", tries, requests, limit)
+	}
+}
+
+func TestPlanEndsWithTheBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := Plan{
+		Deadline: now.Add(15 * time.Millisecond),
+		Backoff: Backoff{
+			Base: 20 * time.Millisecond,
+			Cap:  time.Second,
+		},
+		Ratio: &Ratio{
+			Part:  0.1,
+			Burst: 100,
+		},
+	}
+	if _, ok := p.Next(now, 0, false); !ok {
+		t.Error("Next = false within the budget, want true")
+	}
+	if _, ok := p.Next(now, 0, false); ok {
+		t.Error("Next = true past the budget, want false")
+	}
+}
--- /dev/null
+++ b/token/token_test.go
@@ -0,0 +1,52 @@
+package token
+
+import (
+	"errors"
+	"testing"
+
+	"egretlane.example/egret"
+)
+
+func TestOpenRefusesForeignAndChangedTokens(t *testing.T) {
+	s := Sealer{
+		Keys: [][]byte{[]byte("0123456789abcdef")},
+	}
+	f := egret.Floor{}
+	f.Raise("catalogo-1", egret.Position{
+		Term:   3,
+		Offset: 77,
+	})
+	text := s.Seal("workshop", "catalogo-db", &f)
+	other := Sealer{
+		Keys: [][]byte{[]byte("another-key-of-16b")},
+	}
+	rotated := Sealer{
+		Keys: [][]byte{[]byte("a-newer-key-of-16b"), []byte("0123456789abcdef")},
+	}
+	tests := []struct {
+		name             string
+		sealer           Sealer
+		caller, database string
+		text             string
+		good             bool
+	}{
+		{"own", s, "workshop", "catalogo-db", text, true},
+		{"after rotation", rotated, "workshop", "catalogo-db", text, true},
+		{"other caller", s, "lab", "catalogo-db", text, false},
+		{"other database", s, "workshop", "orders-db", text, false},
+		{"boundary moved", s, "workshopc", "atalogo-db", text, false},
+		{"other key", other, "workshop", "catalogo-db", text, false},
+		{"changed", s, "workshop", "catalogo-db", "A" + text[1:], false},
+		{"short", s, "workshop", "catalogo-db", "QUJD", false},
+		{"not base64", s, "workshop", "catalogo-db", "***", false},
+	}
+	for _, tt := range tests {
+		got, err := tt.sealer.Open(tt.caller, tt.database, tt.text)
+		if tt.good && (err != nil || got.At("catalogo-1") != f.At("catalogo-1")) {
+			t.Errorf("%s: Open = %v, %v, want the floor", tt.name, got, err)
+		}
+		if !tt.good && !errors.Is(err, ErrForged) {
+			t.Errorf("%s: Open error = %v, want ErrForged", tt.name, err)
+		}
+	}
+}
