--- /dev/null
+++ b/store/calls.go
@@ -0,0 +1,126 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/internal/storpb"
+)
+
+// kind is a kind of call, as errors and metrics name it.
+type kind string
+
+// The kinds of calls.
+const (
+	kindGet   kind = "get"
+	kindSwap  kind = "compare-and-swap"
+	kindWatch kind = "watch"
+	kindGrant kind = "grant"
+	kindRenew kind = "renew"
+)
+
+// Get returns the key's value.
+func (c *Client) Get(ctx context.Context, key string) (egret.Value, error) {
+	v := egret.Value{}
+	err := c.call(ctx, kindGet, c.timeout(), func(ctx context.Context, s storpb.StoreClient) error {
+		r, err := s.Get(ctx, &storpb.GetRequest{
+			Key: key,
+		})
+		v = fromWire(r)
+		return err
+	})
+	return v, errors.Trace(err)
+}
+
+// CompareAndSwap writes the value if the key's revision is still the given one.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, revision uint64, data []byte, lease egret.LeaseID) (uint64, error) {
+	written := uint64(0)
+	err := c.call(ctx, kindSwap, c.timeout(), func(ctx context.Context, s storpb.StoreClient) error {
+		r, err := s.CompareAndSwap(ctx, &storpb.CompareAndSwapRequest{
+			Key:      key,
+			Revision: revision,
+			Data:     data,
+			Lease:    uint64(lease),
+		})
+		written = r.GetRevision()
+		return err
+	})
+	return written, errors.Trace(err)
+}
+
+// Watch waits for a revision above after and returns its value. It ends with the context or at the
+// first call that fails.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (egret.Value, error) {
+	for {
+		v, err := c.watchOnce(ctx, key, after)
+		if err != nil {
+			return egret.Value{}, errors.Trace(err)
+		}
+		if v.Revision > after {
+			return v, nil
+		}
+	}
+}
+
+// watchOnce makes one long poll.
+func (c *Client) watchOnce(ctx context.Context, key string, after uint64) (egret.Value, error) {
+	v := egret.Value{}
+	wait := c.watchWait()
+	err := c.call(ctx, kindWatch, wait+c.timeout(), func(ctx context.Context, s storpb.StoreClient) error {
+		r, err := s.Watch(ctx, &storpb.WatchRequest{
+			Key:        key,
+			After:      after,
+			WaitMillis: wait.Milliseconds(),
+		})
+		v = fromWire(r)
+		return err
+	})
+	return v, errors.Trace(err)
+}
+
+// Grant opens a lease that ends ttl after its last renewal.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (egret.LeaseID, error) {
+	id := egret.LeaseID(0)
+	err := c.call(ctx, kindGrant, c.timeout(), func(ctx context.Context, s storpb.StoreClient) error {
+		r, err := s.Grant(ctx, &storpb.GrantRequest{
+			TtlMillis: ttl.Milliseconds(),
+		})
+		id = egret.LeaseID(r.GetLease())
+		return err
+	})
+	return id, errors.Trace(err)
+}
+
+// Renew extends a lease.
+func (c *Client) Renew(ctx context.Context, id egret.LeaseID) error {
+	return c.call(ctx, kindRenew, c.timeout(), func(ctx context.Context, s storpb.StoreClient) error {
+		_, err := s.Renew(ctx, &storpb.RenewRequest{
+			Lease: uint64(id),
+		})
+		return err
+	})
+}
+
+// classify adds the cause that the caller tells apart.
+func classify(k kind, err error) error {
+	switch code := status.Code(err); {
+	case k == kindSwap && code == codes.Aborted:
+		return errors.WithType(err, egret.ErrConflict)
+	case k == kindSwap && code == codes.NotFound, k == kindRenew && code == codes.NotFound:
+		return errors.WithType(err, egret.ErrLeaseLapsed)
+	default:
+		return err
+	}
+}
+
+func fromWire(v *storpb.Value) egret.Value {
+	return egret.Value{
+		Revision: v.GetRevision(),
+		Data:     v.GetData(),
+	}
+}
