--- /dev/null
+++ b/egretlab/proof/main_test.go
@@ -0,0 +1,51 @@
+package proof
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+// TestMain builds the three programs once for all tests.
+func TestMain(m *testing.M) {
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M) (int, error) {
+	dir, err := os.MkdirTemp("", "egret-proof-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	for _, name := range []string{"egretlane", "egretctl", "egretlab"} {
+		if err := build(name); err != nil {
+			return 0, err
+		}
+	}
+	return m.Run(), nil
+}
+
+// build compiles a program, with the race detector if the test has it.
+func build(name string) error {
+	args := []string{"build", "-o", filepath.Join(programs, name)}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	cmd := exec.Command("go", append(args, ".")...)
+	cmd.Dir = filepath.Join("..", "..", name)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("building %s: %w\n%s", name, err, out)
+	}
+	return nil
+}
