--- a/group.go
+++ b/group.go
@@ -42,6 +42,9 @@
 	// Upstream is the address that a replica follows. It is invalid on a primary.
 	Upstream netip.AddrPort
 
+	// Leaving says that the member is about to leave.
+	Leaving bool
+
 	// Sampled is when the answer arrived here, by this process's monotonic clock.
 	Sampled time.Time
 }
--- /dev/null
+++ b/member/state.go
@@ -0,0 +1,123 @@
+package member
+
+import (
+	"net/netip"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+)
+
+// SQLSTATE codes of the platform's functions.
+const (
+	// CodeFloor is the answer of platform.require when the floor was not reached in time.
+	CodeFloor = "EL001"
+
+	// CodeTerm is the refusal of a term because a higher one was granted.
+	CodeTerm = "EL002"
+)
+
+// StatusQuery asks a member for its state. It takes no slot.
+const StatusQuery = "SELECT * FROM platform.status()"
+
+// The columns of a state row.
+const (
+	columnMember = iota
+	columnRole
+	columnGranted
+	columnReceivedTerm
+	columnReceivedOffset
+	columnAppliedTerm
+	columnAppliedOffset
+	columnUpstream
+	columnLeaving
+	columnCount
+)
+
+// grantedTerm finds the term at the end of a refusal's message.
+var grantedTerm = regexp.MustCompile(`has granted term (\d+)$`)
+
+// ParseState reads a state row in text format that arrived at the given time.
+func ParseState(row [][]byte, sampled time.Time) (egret.MemberState, error) {
+	if len(row) < columnCount {
+		return egret.MemberState{}, errors.NotValidf("state row of %d columns", len(row))
+	}
+	r := rowReader{
+		row: row,
+	}
+	state := egret.MemberState{
+		Member:  string(row[columnMember]),
+		Role:    egret.Role(row[columnRole]),
+		Granted: r.uint(columnGranted),
+		Received: egret.Position{
+			Term:   r.uint(columnReceivedTerm),
+			Offset: r.uint(columnReceivedOffset),
+		},
+		Applied: egret.Position{
+			Term:   r.uint(columnAppliedTerm),
+			Offset: r.uint(columnAppliedOffset),
+		},
+		Upstream: r.address(columnUpstream),
+		Leaving:  r.bool(columnLeaving),
+		Sampled:  sampled,
+	}
+	return state, errors.Annotate(r.err, "state row")
+}
+
+// rowReader reads the columns of a row and keeps the first error.
+type rowReader struct {
+	row [][]byte
+	err error
+}
+
+func (r *rowReader) uint(column int) uint64 {
+	v, err := strconv.ParseUint(string(r.row[column]), 10, 64)
+	r.keep(err)
+	return v
+}
+
+func (r *rowReader) bool(column int) bool {
+	v, err := strconv.ParseBool(string(r.row[column]))
+	r.keep(err)
+	return v
+}
+
+// address returns an invalid address for an empty column.
+func (r *rowReader) address(column int) netip.AddrPort {
+	if len(r.row[column]) == 0 {
+		return netip.AddrPort{}
+	}
+	v, err := netip.ParseAddrPort(string(r.row[column]))
+	r.keep(err)
+	return v
+}
+
+func (r *rowReader) keep(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+// termError returns the refusal that err holds as a *egret.TermError, else err itself.
+func termError(m egret.Member, err error) error {
+	var refusal *pgconn.PgError
+	if !errors.As(err, &refusal) || refusal.Code != CodeTerm {
+		return err
+	}
+	found := grantedTerm.FindStringSubmatch(refusal.Message)
+	if found == nil {
+		return err
+	}
+	granted, parseErr := strconv.ParseUint(found[1], 10, 64)
+	if parseErr != nil {
+		return err
+	}
+	return &egret.TermError{
+		Member:  m.Name,
+		Granted: granted,
+	}
+}
