--- /dev/null
+++ b/caller/batch.go
@@ -0,0 +1,268 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+)
+
+// nameBytes is how much of a statement's hash goes into its name.
+const nameBytes = 16
+
+// ErrTerminated says that the caller has closed its session.
+const ErrTerminated = errors.ConstError("the caller has closed its session")
+
+// Incoming is a batch as the entry needs it.
+type Incoming struct {
+	// Batch is what goes to the lane.
+	Batch egret.Batch
+
+	// Texts are the texts of the statements that the batch runs, or that it prepares if it runs
+	// none.
+	Texts []string
+
+	// Simple says that the batch is one Query message.
+	Simple bool
+
+	// Refusal says that the batch can't be run as it is. It is nil for most.
+	Refusal *egret.Failure
+
+	// Answered says that the caller has been told of the refusal already.
+	Answered bool
+
+	// Parsed has the caller's names of the statements that the batch prepares, in order.
+	Parsed []string
+}
+
+// Next waits for a batch. The wait for its first byte ends with ErrDraining when the proxy shuts
+// down, unless a transaction is open, and with ErrIdle at idleEnd if that isn't zero.
+func (c *Conn) Next(inTransaction bool, idleEnd time.Time) (*Incoming, error) {
+	c.gate.enter(inTransaction, idleEnd)
+	g := gatherer{
+		conn: c,
+	}
+	for {
+		m, err := c.backend.Receive()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if _, ok := m.(*pgproto3.Terminate); ok {
+			return nil, errors.Trace(ErrTerminated)
+		}
+		if g.take(m) {
+			return g.incoming(), nil
+		}
+	}
+}
+
+// Settle drops the prepared statements of a batch that the database did not take: those beyond the
+// number of ParseComplete messages in its answer.
+func (c *Conn) Settle(in *Incoming, parseCompletes int) {
+	for i, name := range in.Parsed {
+		if i >= parseCompletes {
+			delete(c.prepared, name)
+		}
+	}
+}
+
+// Reset drops all prepared statements.
+func (c *Conn) Reset() {
+	clear(c.prepared)
+}
+
+// gatherer builds a batch from messages.
+type gatherer struct {
+	// conn has the prepared statements.
+	conn *Conn
+
+	// in is the batch so far.
+	in Incoming
+
+	// run and parsed are the texts of statements that are bound and parsed.
+	run, parsed []string
+
+	// unnamed says that the batch has parsed the unnamed statement itself.
+	unnamed bool
+}
+
+// take adds a message. It returns true when the batch is whole.
+func (g *gatherer) take(m pgproto3.FrontendMessage) bool {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		g.in.Simple = len(g.in.Batch.Messages) == 0
+		g.run = append(g.run, m.String)
+		g.add(m)
+		return true
+	case *pgproto3.Sync:
+		g.add(m)
+		return true
+	case *pgproto3.Parse:
+		g.parse(m)
+	case *pgproto3.Bind:
+		g.bind(m)
+	case *pgproto3.Describe:
+		g.describe(m)
+	case *pgproto3.Close:
+		g.close(m)
+	case *pgproto3.Execute:
+		g.add(m)
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// Left over from a refused copy. PostgreSQL ignores them too.
+	case *pgproto3.Flush:
+		g.refuse(egret.CodeUnsupported, "Flush is not offered: end the batch with Sync")
+		g.sendRefusal()
+	default:
+		g.refuse(egret.CodeUnsupported, "this message is not offered in pooled routes")
+	}
+	return false
+}
+
+func (g *gatherer) parse(m *pgproto3.Parse) {
+	s := statementOf(m)
+	if m.Name == "" {
+		g.unnamed = true
+		g.in.Parsed = append(g.in.Parsed, "")
+		g.parsed = append(g.parsed, m.Query)
+		g.conn.prepared[""] = s
+		g.add(m)
+		return
+	}
+	if _, taken := g.conn.prepared[m.Name]; taken {
+		g.refuse("42P05", "the prepared statement \""+m.Name+"\" already exists")
+		return
+	}
+	g.conn.prepared[m.Name] = s
+	g.in.Parsed = append(g.in.Parsed, m.Name)
+	g.parsed = append(g.parsed, m.Query)
+	g.define(s)
+	m.Name = s.Name
+	g.add(m)
+}
+
+func (g *gatherer) bind(m *pgproto3.Bind) {
+	s, ok := g.lookUp(m.PreparedStatement)
+	if !ok {
+		return
+	}
+	g.run = append(g.run, s.Query)
+	m.PreparedStatement = g.nameFor(m.PreparedStatement, s)
+	g.add(m)
+}
+
+func (g *gatherer) describe(m *pgproto3.Describe) {
+	if m.ObjectType == 'S' {
+		s, ok := g.lookUp(m.Name)
+		if !ok {
+			return
+		}
+		g.parsed = append(g.parsed, s.Query)
+		m.Name = g.nameFor(m.Name, s)
+	}
+	g.add(m)
+}
+
+// close forgets a statement. The member keeps its own for other sessions, so that it is asked to
+// close one that never exists, which the protocol allows and which gives the answer in its place.
+func (g *gatherer) close(m *pgproto3.Close) {
+	if m.ObjectType == 'S' {
+		delete(g.conn.prepared, m.Name)
+		m.Name = "egretlane-none"
+	}
+	g.add(m)
+}
+
+func (g *gatherer) lookUp(name string) (egret.Statement, bool) {
+	s, found := g.conn.prepared[name]
+	if !found {
+		g.refuse("26000", "the prepared statement \""+name+"\" does not exist")
+	}
+	return s, found
+}
+
+// nameFor returns the name that the lane knows the statement by. The unnamed statement keeps its
+// name within the batch that parses it, and later has one made from its text.
+func (g *gatherer) nameFor(name string, s egret.Statement) string {
+	if name == "" && g.unnamed {
+		return ""
+	}
+	g.define(s)
+	return s.Name
+}
+
+func (g *gatherer) define(s egret.Statement) {
+	for _, d := range g.in.Batch.Statements {
+		if d.Name == s.Name {
+			return
+		}
+	}
+	g.in.Batch.Statements = append(g.in.Batch.Statements, s)
+}
+
+func (g *gatherer) add(m pgproto3.FrontendMessage) {
+	if g.in.Refusal != nil {
+		return
+	}
+	messages, err := m.Encode(g.in.Batch.Messages)
+	if err != nil {
+		g.refuse(egret.CodeProtocol, err.Error())
+		return
+	}
+	if len(messages) > g.conn.limit {
+		g.refuse(egret.CodeTooLarge, "the batch is over the limit of "+strconv.Itoa(g.conn.limit)+" bytes")
+		return
+	}
+	g.in.Batch.Messages = messages
+}
+
+// refuse keeps the first fault. Messages up to the end of the batch are passed over.
+func (g *gatherer) refuse(code, message string) {
+	if g.in.Refusal != nil {
+		return
+	}
+	g.in.Refusal = &egret.Failure{
+		Outcome: egret.NotRun,
+		Code:    code,
+		Message: message,
+	}
+	g.in.Batch = egret.Batch{}
+}
+
+// sendRefusal answers before the end of the batch, for callers that wait for it.
+func (g *gatherer) sendRefusal() {
+	g.conn.Fail(g.in.Refusal)
+	// If the caller has gone, the next read says so.
+	_ = g.conn.Flush()
+	g.in.Answered = true
+}
+
+func (g *gatherer) incoming() *Incoming {
+	g.in.Texts = g.run
+	if len(g.run) == 0 {
+		g.in.Texts = g.parsed
+	}
+	return &g.in
+}
+
+// statementOf gives a statement a name made from its text and types, so that one name means one
+// statement on every connection.
+func statementOf(m *pgproto3.Parse) egret.Statement {
+	text := []byte(m.Query)
+	for _, t := range m.ParameterOIDs {
+		text = append(text, 0)
+		text = strconv.AppendUint(text, uint64(t), 10)
+	}
+	// A hash that can't be forged keeps one caller from giving its statement the name of another's.
+	sum := sha256.Sum256(text)
+	return egret.Statement{
+		Name:  "egretlane-" + hex.EncodeToString(sum[:nameBytes]),
+		Query: m.Query,
+		Types: slices.Clone(m.ParameterOIDs),
+	}
+}
--- a/failure.go
+++ b/failure.go
@@ -139,3 +139,18 @@
 func (e *TermError) Error() string {
 	return fmt.Sprintf("member %s has granted term %d", e.Member, e.Granted)
 }
+
+// FailureOf returns the *Failure in the error's chain. Any other error becomes a Failure with an
+// unknown outcome, so that nothing unproved is reported as not run.
+func FailureOf(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &Failure{
+		Outcome: Unknown,
+		Reason:  ReasonOther,
+		Code:    CodeUnknown,
+		Message: err.Error(),
+	}
+}
--- a/route/match.go
+++ b/route/match.go
@@ -13,8 +13,6 @@
 import (
 	"slices"
 
-	"github.com/juju/errors"
-
 	"egretlane.example/egret"
 	"egretlane.example/egret/place"
 )
@@ -63,15 +61,6 @@
 	return nil, refuse(egret.CodeNoRoute, "the pool \""+p.Name+"\" has no group \""+name+"\"")
 }
 
-// IsFailure returns the error's *egret.Failure, or nil.
-func IsFailure(err error) *egret.Failure {
-	var f *egret.Failure
-	if errors.As(err, &f) {
-		return f
-	}
-	return nil
-}
-
 func groupNames(p *egret.Pool) []string {
 	names := make([]string, 0, len(p.Groups))
 	for _, g := range p.Groups {
