--- /dev/null
+++ b/table/form/check.go
@@ -0,0 +1,118 @@
+package form
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+
+	"egretlane.example/egret"
+)
+
+// nameRule holds for names of routes, pools, groups, members and kinds. They go into metrics and
+// tokens.
+var nameRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// checker collects what is wrong with tables.
+type checker struct {
+	findings Findings
+
+	// members holds the group of each member's name that was seen.
+	members map[string]string
+
+	// addresses holds the member of each address that was seen.
+	addresses map[netip.AddrPort]string
+}
+
+// Check looks for what is wrong with tables. The findings have paths and no places.
+func Check(t *egret.Tables) Findings {
+	c := &checker{
+		members:   make(map[string]string),
+		addresses: make(map[netip.AddrPort]string),
+	}
+	if len(t.Routes) == 0 {
+		c.warn("routes", "no routes: each request is refused")
+	}
+	c.routes(t)
+	c.shadows(t.Routes)
+	c.pools(t)
+	return c.findings
+}
+
+func (c *checker) fault(path string, format string, a ...any) {
+	c.add(path, Fault, format, a...)
+}
+
+func (c *checker) warn(path string, format string, a ...any) {
+	c.add(path, Warning, format, a...)
+}
+
+func (c *checker) add(path string, s Severity, format string, a ...any) {
+	c.findings = append(c.findings, Finding{
+		Path:     path,
+		Severity: s,
+		Text:     fmt.Sprintf(format, a...),
+	})
+}
+
+// name checks the form of a name.
+func (c *checker) name(path string, what string, name string) {
+	if !nameRule.MatchString(name) {
+		c.fault(path, "%s name %q has to be 1 to 63 letters, digits, dots, hyphens and underscores, the first a letter or a digit", what, name)
+	}
+}
+
+func (c *checker) routes(t *egret.Tables) {
+	names := make(map[string]bool)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		path := fmt.Sprintf("routes[%d]", i)
+		c.name(path+".name", "route", r.Name)
+		if names[r.Name] {
+			c.fault(path+".name", "another route has the name %q", r.Name)
+		}
+		names[r.Name] = true
+		c.route(path, r)
+		if t.Pool(r.Pool) == nil {
+			c.fault(path+".pool", "route %q: no pool has the name %q", r.Name, r.Pool)
+		}
+	}
+}
+
+func (c *checker) route(path string, r *egret.Route) {
+	if r.Caller == "" {
+		c.fault(path+".caller", "route %q: the caller is empty; \"*\" fits all", r.Name)
+	}
+	if r.Database == "" {
+		c.fault(path+".database", "route %q: the database is empty", r.Name)
+	}
+	c.kinds(path, r)
+	switch r.Class {
+	case egret.ClassOrder, egret.ClassNormal, egret.ClassDefer:
+	default:
+		c.fault(path+".class", "route %q: class %q is none of order, normal and defer", r.Name, r.Class)
+	}
+	if r.Budget <= 0 {
+		c.fault(path+".budget", "route %q: the budget is not above zero", r.Name)
+	}
+	if r.MaxAge < 0 {
+		c.fault(path+".max-age", "route %q: the age is below zero", r.Name)
+	}
+	if r.ConfirmWait <= 0 {
+		c.fault(path+".confirm-wait", "route %q: the wait is not above zero", r.Name)
+	}
+	if r.ConfirmWait > r.Budget && r.Budget > 0 {
+		c.warn(path+".confirm-wait", "route %q: the wait of %v is longer than the budget of %v, which ends it", r.Name, r.ConfirmWait, r.Budget)
+	}
+}
+
+func (c *checker) kinds(path string, r *egret.Route) {
+	seen := make(map[string]bool)
+	for i, k := range r.Kinds {
+		kind := fmt.Sprintf("%s.kinds[%d]", path, i)
+		c.name(kind, "kind", k)
+		if seen[k] {
+			c.fault(kind, "route %q: kind %q is listed twice", r.Name, k)
+		}
+		seen[k] = true
+	}
+}
--- /dev/null
+++ b/table/form/pools.go
@@ -0,0 +1,147 @@
+package form
+
+import (
+	"fmt"
+	"slices"
+
+	"egretlane.example/egret"
+)
+
+// membersForPromotion is how many members a group needs so that a majority outlives the primary.
+const membersForPromotion = 3
+
+// maxWeight bounds a caller's share of a lane.
+const maxWeight = 1000
+
+func (c *checker) pools(t *egret.Tables) {
+	pools := make(map[string]bool)
+	groups := make(map[string]bool)
+	for i := range t.Pools {
+		p := &t.Pools[i]
+		path := fmt.Sprintf("pools[%d]", i)
+		c.name(path+".name", "pool", p.Name)
+		if pools[p.Name] {
+			c.fault(path+".name", "another pool has the name %q", p.Name)
+		}
+		pools[p.Name] = true
+		c.limits(path, p)
+		c.weights(path, p)
+		c.groups(path, p, groups)
+	}
+}
+
+func (c *checker) limits(path string, p *egret.Pool) {
+	if p.Slots < 1 {
+		c.fault(path+".slots", "pool %q: slots have to be at least 1", p.Name)
+	}
+	if p.Connections < 1 {
+		c.fault(path+".connections", "pool %q: connections have to be at least 1", p.Name)
+	}
+	if p.Reserve < 0 {
+		c.fault(path+".reserve", "pool %q: the reserve is below zero", p.Name)
+	}
+	if p.Reserve >= p.Connections && p.Connections > 0 {
+		c.fault(path+".reserve", "pool %q: a reserve of %d leaves none of %d connections", p.Name, p.Reserve, p.Connections)
+	}
+	if usable := p.Connections - p.Reserve; usable > 0 && usable < p.Slots {
+		c.warn(path+".slots", "pool %q: %d slots can't be filled by %d connections", p.Name, p.Slots, usable)
+	}
+	if p.Queue < 1 {
+		c.fault(path+".queue", "pool %q: the queue has to be at least 1", p.Name)
+	}
+	if p.OrderShare < 0 || p.OrderShare > 100 {
+		c.fault(path+".order-share", "pool %q: the share is a percentage from 0 to 100", p.Name)
+	}
+	if p.OrderShare == 100 {
+		c.warn(path+".order-share", "pool %q: class order may keep all others waiting", p.Name)
+	}
+}
+
+func (c *checker) weights(path string, p *egret.Pool) {
+	seen := make(map[string]bool)
+	for i, w := range p.Weights {
+		weight := fmt.Sprintf("%s.weights[%d]", path, i)
+		if w.Caller == "" || w.Caller == "*" {
+			c.fault(weight+".caller", "pool %q: a weight needs a caller's name", p.Name)
+		}
+		if seen[w.Caller] {
+			c.fault(weight+".caller", "pool %q: caller %q has two weights", p.Name, w.Caller)
+		}
+		seen[w.Caller] = true
+		if w.Weight < 1 || w.Weight > maxWeight {
+			c.fault(weight+".weight", "pool %q: a weight is from 1 to %d", p.Name, maxWeight)
+		}
+	}
+}
+
+func (c *checker) groups(path string, p *egret.Pool, names map[string]bool) {
+	if len(p.Groups) == 0 {
+		c.fault(path+".groups", "pool %q has no groups", p.Name)
+	}
+	for i := range p.Groups {
+		g := &p.Groups[i]
+		group := fmt.Sprintf("%s.groups[%d]", path, i)
+		c.name(group+".name", "group", g.Name)
+		if names[g.Name] {
+			c.fault(group+".name", "another group has the name %q", g.Name)
+		}
+		names[g.Name] = true
+		c.group(group+".members", g)
+	}
+}
+
+func (c *checker) group(path string, g *egret.Group) {
+	for i, m := range g.Members {
+		c.member(fmt.Sprintf("%s[%d]", path, i), g.Name, m)
+	}
+	n := len(g.Members)
+	switch {
+	case n == 0:
+		c.fault(path, "group %q has no members", g.Name)
+		return
+	case n < membersForPromotion:
+		c.warn(path, "group %q has %d members: promotion and confirmation need %d", g.Name, n, membersForPromotion)
+	case n%2 == 0:
+		c.warn(path, "group %q has %d members: an even number outlives no more failures than %d", g.Name, n, n-1)
+	}
+	c.spread(path, g)
+}
+
+// spread warns of a group that one event takes away.
+func (c *checker) spread(path string, g *egret.Group) {
+	staying := slices.ContainsFunc(g.Members, func(m egret.Member) bool {
+		return !m.Leaving
+	})
+	if !staying {
+		c.warn(path, "group %q: all members are leaving", g.Name)
+	}
+	first := g.Members[0]
+	spread := slices.ContainsFunc(g.Members, func(m egret.Member) bool {
+		return m.Domain != first.Domain || m.Region != first.Region
+	})
+	if !spread && len(g.Members) > 1 {
+		c.warn(path, "group %q: all members are in failure domain %q", g.Name, first.Domain)
+	}
+}
+
+func (c *checker) member(path string, group string, m egret.Member) {
+	c.name(path+".name", "member", m.Name)
+	if other, found := c.members[m.Name]; found {
+		c.fault(path+".name", "group %q has a member %q already", other, m.Name)
+	} else {
+		c.members[m.Name] = group
+	}
+	if !m.Address.IsValid() || m.Address.Port() == 0 || m.Address.Addr().IsUnspecified() {
+		c.fault(path+".address", "member %q: %v is no address to dial", m.Name, m.Address)
+	} else if other, found := c.addresses[m.Address]; found {
+		c.fault(path+".address", "member %q has the address %v already", other, m.Address)
+	} else {
+		c.addresses[m.Address] = m.Name
+	}
+	if m.Region == "" {
+		c.fault(path+".region", "member %q: the region is empty", m.Name)
+	}
+	if m.Domain == "" {
+		c.fault(path+".failure-domain", "member %q: the failure domain is empty", m.Name)
+	}
+}
