egretctl: check, change and show the tables, and show the state of proxies

Operators need each fault with its place, a conflict with the other edit, and an apply whose outcome is unknown settled by its edit ID. Exit statuses tell the cases apart for scripts.

--- a/egretctl/main.go
+++ b/egretctl/main.go
@@ -1,5 +1,147 @@
-// Command egretctl is part of egretlane.
+// Command egretctl is the operators' command of egretlane: it checks and changes the tables and
+// shows the state of proxies.
 package main
 
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretlane.example/egret/store"
+	"egretlane.example/egret/table"
+)
+
+// defaultTimeout bounds a command's calls.
+const defaultTimeout = 30 * time.Second
+
+const description = `Operators drive egretlane by two tables: routes and pools. They are one value in the platform's
+store, with a revision that rises with each change.
+
+Exit statuses:
+  0  done
+  1  failed; the tables were not changed
+  2  wrong usage
+  3  the tables have faults
+  4  conflict: another edit came first
+  5  outcome unknown: run the same apply again with the edit ID that was printed
+  6  some of the proxies gave no status`
+
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(int(run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr)))
+}
+
+// run runs a command line and returns the exit status.
+func run(ctx context.Context, args []string, in io.Reader, out io.Writer, errs io.Writer) exitStatus {
+	c := rootCommand()
+	c.Reader = in
+	c.Writer = out
+	c.ErrWriter = errs
+	err := c.Run(ctx, args)
+	if err != nil {
+		fmt.Fprintf(errs, "egretctl: %v\n", err)
+	}
+	return statusOf(err)
+}
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
+		Name:                  "egretctl",
+		Usage:                 "check and change the tables of egretlane, and show the state of its proxies",
+		Description:           description,
+		EnableShellCompletion: true,
+		Suggest:               true,
+		ExitErrHandler:        leaveError,
+		Action:                refuseCommand,
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:    "store",
+				Usage:   "`ADDRESS` of the platform's store",
+				Value:   "127.0.0.1:6400",
+				Sources: cli.EnvVars("EGRETCTL_STORE"),
+			},
+			&cli.StringFlag{
+				Name:    "tables-key",
+				Usage:   "`KEY` of the tables in the store",
+				Value:   "egretlane/tables",
+				Sources: cli.EnvVars("EGRETCTL_TABLES_KEY"),
+			},
+			&cli.DurationFlag{
+				Name:    "timeout",
+				Usage:   "longest time for the calls of a command",
+				Value:   defaultTimeout,
+				Sources: cli.EnvVars("EGRETCTL_TIMEOUT"),
+			},
+		},
+		Commands: []*cli.Command{
+			validateCommand(),
+			getCommand(),
+			applyCommand(),
+			diffCommand(),
+			editCommand(),
+			historyCommand(),
+			statusCommand(),
+		},
+	}
+}
+
+// leaveError leaves the exit status to run.
+func leaveError(context.Context, *cli.Command, error) {}
+
+// refuseCommand answers a command line without a known command.
+func refuseCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return usageError("no command %q; see egretctl --help", c.Args().First())
+	}
+	return errors.Trace(cli.ShowAppHelp(c))
+}
+
+// session is a command's access to the store.
+type session struct {
+	// editor reads and changes the tables.
+	editor *table.Editor
+
+	// client is closed at the end.
+	client *store.Client
+}
+
+// newSession sets up the access to the store. It dials at the first call.
+func newSession(c *cli.Command) (*session, error) {
+	a, err := netip.ParseAddrPort(c.String("store"))
+	if err != nil {
+		return nil, usageError("--store: %v", err)
+	}
+	client := &store.Client{
+		Address: a,
+	}
+	return &session{
+		editor: &table.Editor{
+			Store: client,
+			Key:   c.String("tables-key"),
+		},
+		client: client,
+	}, nil
+}
+
+// withSession makes an action of a function that needs the store.
+func withSession(run func(ctx context.Context, c *cli.Command, s *session) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		s, err := newSession(c)
+		if err != nil {
+			return err
+		}
+		defer s.client.Close()
+		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		defer cancel()
+		return commandError(run(ctx, c, s))
+	}
 }
--- /dev/null
+++ b/egretctl/tables.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/table"
+	"egretlane.example/egret/table/form"
+)
+
+// stdinName names the standard input as a file of tables.
+const stdinName = "-"
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check files of tables, without the store",
+		ArgsUsage: "FILE...",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if !c.Args().Present() {
+				return usageError("validate needs a FILE, or - for the standard input")
+			}
+			return commandError(validate(c))
+		},
+	}
+}
+
+func validate(c *cli.Command) error {
+	faults := form.Findings{}
+	for _, name := range c.Args().Slice() {
+		_, findings, err := readFile(c, name)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		printFindings(c.Root().Writer, findings)
+		faults = append(faults, findings.Faults()...)
+	}
+	if len(faults) > 0 {
+		return &exitError{
+			status: exitFaults,
+			err:    errors.Errorf("%s found", count(len(faults), "fault")),
+		}
+	}
+	return nil
+}
+
+func getCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "get",
+		Usage: "print the tables that the store has",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:  "format",
+				Usage: "`FORMAT`: yaml or json",
+				Value: "yaml",
+			},
+		},
+		Action: withSession(get),
+	}
+}
+
+func get(ctx context.Context, c *cli.Command, s *session) error {
+	t, err := readTables(ctx, s)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	data := []byte{}
+	switch c.String("format") {
+	case "yaml":
+		data, err = withRevision(t)
+	case "json":
+		data, err = form.JSON(t)
+	default:
+		return usageError("--format: %q is neither yaml nor json", c.String("format"))
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = c.Root().Writer.Write(data)
+	return errors.Trace(err)
+}
+
+// withRevision writes the tables as YAML, with the revision in a comment.
+func withRevision(t *egret.Tables) ([]byte, error) {
+	data, err := form.YAML(t)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return append(fmt.Appendf(nil, "# Revision %d.\n", t.Revision), data...), nil
+}
+
+// readTables returns the store's tables and fails if there are none.
+func readTables(ctx context.Context, s *session) (*egret.Tables, error) {
+	t, err := s.editor.Read(ctx)
+	if err != nil {
+		return t, errors.Trace(err)
+	}
+	if t.Revision == 0 {
+		return nil, errors.NotFoundf("tables under the key %q of the store", s.editor.Key)
+	}
+	return t, nil
+}
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "show what an apply of a file would change",
+		ArgsUsage: "FILE",
+		Action:    withSession(diff),
+	}
+}
+
+func diff(ctx context.Context, c *cli.Command, s *session) error {
+	later, err := readArgument(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	earlier, err := s.editor.Read(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	printDifferences(c.Root().Writer, table.Diff(earlier, later))
+	return nil
+}
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "history",
+		Usage:  "list the recent edits of the tables, newest first",
+		Action: withSession(history),
+	}
+}
+
+func history(ctx context.Context, c *cli.Command, s *session) error {
+	t, err := readTables(ctx, s)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TIME\tAUTHOR\tEDIT\tSUMMARY")
+	for _, e := range t.Edits {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Time.UTC().Format(time.RFC3339), e.Author, e.ID, e.Summary)
+	}
+	return errors.Trace(w.Flush())
+}
+
+// readArgument reads the file that is the only argument. Its tables have no faults.
+func readArgument(c *cli.Command) (*egret.Tables, error) {
+	if c.Args().Len() != 1 {
+		return nil, usageError("%s needs one FILE, or - for the standard input", c.Name)
+	}
+	t, findings, err := readFile(c, c.Args().First())
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return t, errors.Trace(checkFindings(c, findings))
+}
+
+// checkFindings prints the findings and fails if there are faults.
+func checkFindings(c *cli.Command, findings form.Findings) error {
+	printFindings(c.Root().ErrWriter, findings)
+	if !findings.HasFaults() {
+		return nil
+	}
+	return &exitError{
+		status: exitFaults,
+		err:    errors.Errorf("%s found, nothing was changed", count(len(findings.Faults()), "fault")),
+	}
+}
+
+func readFile(c *cli.Command, name string) (*egret.Tables, form.Findings, error) {
+	if name == stdinName {
+		data, err := io.ReadAll(io.LimitReader(c.Root().Reader, form.MaxBytes+1))
+		if err != nil {
+			return nil, nil, errors.Annotate(err, "reading the standard input")
+		}
+		t, findings := form.Parse("stdin", data)
+		return t, findings, nil
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "reading tables")
+	}
+	t, findings := form.Parse(name, data)
+	return t, findings, nil
+}
+
+func printFindings(w io.Writer, findings form.Findings) {
+	for _, f := range findings {
+		fmt.Fprintln(w, f)
+	}
+}
+
+func printDifferences(w io.Writer, found []table.Difference) {
+	for _, d := range found {
+		fmt.Fprintln(w, d)
+	}
+	if len(found) == 0 {
+		fmt.Fprintln(w, "no difference")
+	}
+}
+
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
