--- a/egretctl/main.go
+++ b/egretctl/main.go
@@ -110,8 +110,8 @@
 	// editor reads and changes the tables.
 	editor *table.Editor
 
-	// client is closed at the end.
-	client *store.Client
+	// client ends the connection.
+	client io.Closer
 }
 
 // newSession sets up the access to the store. It dials at the first call.
--- a/egretctl/status.go
+++ b/egretctl/status.go
@@ -112,7 +112,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer conn.Close()
+	defer func() {
+		_ = conn.Close()
+	}()
 	r, err := peerpb.NewPeerClient(conn).Status(ctx, &peerpb.StatusRequest{})
 	return r, errors.Trace(err)
 }
--- a/egretctl/tables.go
+++ b/egretctl/tables.go
@@ -72,15 +72,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	data := []byte{}
-	switch c.String("format") {
-	case "yaml":
-		data, err = withRevision(t)
-	case "json":
-		data, err = form.JSON(t)
-	default:
-		return usageError("--format: %q is neither yaml nor json", c.String("format"))
-	}
+	data, err := write(t, c.String("format"))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -88,6 +80,18 @@
 	return errors.Trace(err)
 }
 
+// write returns the tables in a format.
+func write(t *egret.Tables, format string) ([]byte, error) {
+	switch format {
+	case "yaml":
+		return withRevision(t)
+	case "json":
+		return form.JSON(t)
+	default:
+		return nil, usageError("--format: %q is neither yaml nor json", format)
+	}
+}
+
 // withRevision writes the tables as YAML, with the revision in a comment.
 func withRevision(t *egret.Tables) ([]byte, error) {
 	data, err := form.YAML(t)
