--- a/egretlab/proof/check_test.go
+++ b/egretlab/proof/check_test.go
@@ -110,7 +110,17 @@
 			anywhere[m] = max(anywhere[m], s.count)
 		}
 	}
+	tried := map[mark]bool{}
 	for _, e := range h.records {
+		if e.outcome == acknowledged || e.outcome == unknown {
+			tried[markOf(e)] = true
+		}
+	}
+	for _, e := range h.records {
+		if e.outcome == notRun && tried[markOf(e)] {
+			// The caller sent it again.
+			continue
+		}
 		if e.action != read {
 			h.checkWrite(&v, e, final[markOf(e)], anywhere[markOf(e)])
 		}
--- a/egretlab/proof/client_test.go
+++ b/egretlab/proof/client_test.go
@@ -1,14 +1,17 @@
 package proof
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // tokenName is the parameter that carries the session's floor.
@@ -17,6 +20,9 @@
 // callLimit bounds a request as the caller sees it.
 const callLimit = 15 * time.Second
 
+// connectPause is how long a caller waits after a connection that failed.
+const connectPause = 20 * time.Millisecond
+
 // outcome is what a caller was told of a request.
 type outcome int
 
@@ -110,6 +116,12 @@
 	// roam makes the session hand its token back when it moves.
 	roam bool
 
+	// limit bounds a request as the caller sees it. Zero means callLimit.
+	limit time.Duration
+
+	// key makes orders carry an idempotency key.
+	key bool
+
 	// token is the newest token. An old one may be put here.
 	token string
 
@@ -155,8 +167,12 @@
 
 // order places an order through a proxy and records it.
 func (s *session) order(proxy int, id string, item string) record {
+	tags := "kind='order'"
+	if s.key {
+		tags += fmt.Sprintf(",idempotency-key='%s'", id)
+	}
 	return s.do(proxy, insert, id, item, fmt.Sprintf(
-		"INSERT INTO orders (id, item) VALUES ('%s', '%s') /*kind='order'*/", id, item))
+		"INSERT INTO orders (id, item) VALUES ('%s', '%s') /*%s*/", id, item, tags))
 }
 
 // change sets an order's item.
@@ -181,10 +197,11 @@
 		proxy:   proxy,
 		call:    time.Since(s.recorder.began),
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(s.limit, callLimit))
 	defer cancel()
 	if e.err = s.connect(ctx, proxy); e.err != nil {
 		e.outcome = notRun
+		time.Sleep(connectPause)
 	} else {
 		rows, err := s.exec(ctx, sql)
 		e.err = err
@@ -281,3 +298,26 @@
 	}
 	return ""
 }
+
+// sendCancel asks at an address to cancel what the connection runs.
+func sendCancel(address string, conn *pgconn.PgConn) error {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	m := pgproto3.CancelRequest{
+		ProcessID: conn.PID(),
+		SecretKey: conn.SecretKey(),
+	}
+	data, err := m.Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write(data); err != nil {
+		return err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, _ = io.Copy(io.Discard, c)
+	return nil
+}
--- a/egretlab/proof/cluster_test.go
+++ b/egretlab/proof/cluster_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -300,15 +301,21 @@
 // primary returns the member that says that it is primary in the highest term.
 func (c *cluster) primary() (*node, uint64) {
 	c.t.Helper()
+	states := make([]memberState, len(c.members))
+	var asked sync.WaitGroup
+	for i, m := range c.members {
+		asked.Go(func() {
+			states[i], _ = m.state()
+		})
+	}
+	asked.Wait()
 	var best *node
 	term := uint64(0)
-	for _, m := range c.members {
-		s, err := m.state()
-		if err != nil || s.Role != "primary" || s.Granted < term {
-			continue
+	for i, s := range states {
+		if s.Role == "primary" && s.Granted >= term {
+			best = c.members[i]
+			term = s.Granted
 		}
-		best = m
-		term = s.Granted
 	}
 	return best, term
 }
--- a/egretlab/proof/load_test.go
+++ b/egretlab/proof/load_test.go
@@ -34,9 +34,18 @@
 	// Changes makes half of the requests changes of an order instead of new ones.
 	Changes bool
 
+	// Again makes a caller send an order again until its outcome is known.
+	Again bool
+
+	// Key makes orders carry an idempotency key.
+	Key bool
+
 	// Pin keeps a caller at its proxy. Without it the callers move at random.
 	Pin bool
 
+	// Move makes a pinned caller take the next proxy after a connection that failed.
+	Move bool
+
 	// Pause is how long a caller thinks between two orders.
 	Pause time.Duration
 }
@@ -56,31 +65,71 @@
 }
 
 func (l *load) work(s loadSettings, caller int) {
-	random := rand.New(rand.NewPCG(s.Seed, uint64(caller)))
-	x := l.c.session(fmt.Sprintf("%s-%d", s.Prefix, caller))
-	x.recorder = l.recorder
-	defer x.close()
-	base := ""
+	w := &worker{
+		load:     l,
+		settings: s,
+		random:   rand.New(rand.NewPCG(s.Seed, uint64(caller))),
+		session:  l.c.session(fmt.Sprintf("%s-%d", s.Prefix, caller)),
+		proxy:    caller % len(l.c.proxies),
+	}
+	w.session.recorder = l.recorder
+	w.session.key = s.Key
+	defer w.session.close()
 	for i := 0; !l.stopping.Load(); i++ {
-		id := fmt.Sprintf("%s-%d-%d", s.Prefix, caller, i)
-		proxy := l.pick(s, random, caller)
-		if s.Changes && base != "" && random.IntN(2) == 0 {
-			x.change(proxy, base, id)
-		} else if x.order(proxy, id, "item-"+id).outcome == acknowledged {
-			base = id
-		}
-		if s.Reads && base != "" {
-			x.stock(l.pick(s, random, caller), base)
-		}
+		w.step(fmt.Sprintf("%s-%d-%d", s.Prefix, caller, i))
 		time.Sleep(s.Pause)
 	}
 }
 
-func (l *load) pick(s loadSettings, random *rand.Rand, caller int) int {
-	if s.Pin {
-		return caller % len(l.c.proxies)
+// worker is one caller of a load.
+type worker struct {
+	load     *load
+	settings loadSettings
+	random   *rand.Rand
+	session  *session
+
+	// proxy is the index of the next request's proxy.
+	proxy int
+
+	// base is an order of the caller's own that it changes and reads, or "".
+	base string
+}
+
+// step places an order or changes one, and reads it if the settings ask for it.
+func (w *worker) step(id string) {
+	if w.settings.Changes && w.base != "" && w.random.IntN(2) == 0 {
+		w.note(w.session.change(w.next(), w.base, id))
+	} else if w.order(id) {
+		w.base = id
+	}
+	if w.settings.Reads && w.base != "" {
+		w.note(w.session.stock(w.next(), w.base))
+	}
+}
+
+// order places an order and reports whether it was acknowledged.
+func (w *worker) order(id string) bool {
+	e := w.note(w.session.order(w.next(), id, "item-"+id))
+	for w.settings.Again && (e.outcome == unknown || e.outcome == notRun) && !w.load.stopping.Load() {
+		e = w.note(w.session.order(w.next(), id, "item-"+id))
+	}
+	return e.outcome == acknowledged
+}
+
+// next chooses the proxy of the next request.
+func (w *worker) next() int {
+	if !w.settings.Pin {
+		w.proxy = w.random.IntN(len(w.load.c.proxies))
+	}
+	return w.proxy
+}
+
+// note moves the caller on after a failure.
+func (w *worker) note(e record) record {
+	if w.settings.Move && e.outcome != acknowledged {
+		w.proxy = (w.proxy + 1) % len(w.load.c.proxies)
 	}
-	return random.IntN(len(l.c.proxies))
+	return e
 }
 
 // count returns how many requests were acknowledged so far.
--- a/egretlab/proof/tables_test.go
+++ b/egretlab/proof/tables_test.go
@@ -88,7 +88,7 @@
 func (c *cluster) control(args ...string) (string, int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	all := append([]string{"--store", c.store.address.String(), "--tables-key", tablesKey}, args...)
+	all := append([]string{"--store", c.store.address.String(), "--tables-key", tablesKey, "--timeout", "8s"}, args...)
 	cmd := exec.CommandContext(ctx, filepath.Join(programs, "egretctl"), all...)
 	out, err := cmd.CombinedOutput()
 	if err != nil && cmd.ProcessState == nil {
