peer: membership, facts and tables among the proxies

Cause: proxies need a common view of who is there, which member leads each group and which tables are in force, without a coordination service. Ruled out: a broadcast to all from each node, whose cost grows with the square of the fleet; a random partner for each round, which dials anew.

--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/internal/peerpb"
+	"egretlane.example/egret/peer/roster"
+)
+
+// ShortHash is the part of a session's process number that names its proxy. It goes into the upper
+// half of the number.
+func ShortHash(id string) uint16 {
+	return uint16(xxhash.Sum64String(id))
+}
+
+func nodeToWire(n egret.Node) *peerpb.Node {
+	return &peerpb.Node{
+		Id:          n.ID,
+		Address:     n.Address.String(),
+		Region:      n.Region,
+		Domain:      n.Domain,
+		Incarnation: n.Incarnation,
+		State:       string(n.State),
+	}
+}
+
+// nodeFromWire returns false for a node that isn't whole.
+func nodeFromWire(w *peerpb.Node) (egret.Node, bool) {
+	a, err := netip.ParseAddrPort(w.GetAddress())
+	if err != nil || w.GetId() == "" {
+		return egret.Node{}, false
+	}
+	n := egret.Node{
+		ID:          w.GetId(),
+		Address:     a,
+		Region:      w.GetRegion(),
+		Domain:      w.GetDomain(),
+		Incarnation: w.GetIncarnation(),
+		State:       egret.NodeState(w.GetState()),
+	}
+	switch n.State {
+	case egret.NodeAlive, egret.NodeSuspect, egret.NodeLeaving, egret.NodeDead:
+		return n, true
+	default:
+		return egret.Node{}, false
+	}
+}
+
+func factToWire(f egret.GroupFact) *peerpb.Fact {
+	return &peerpb.Fact{
+		Group:   f.Group,
+		Term:    f.Term,
+		Primary: f.Primary,
+	}
+}
+
+func newsToWire(n roster.News) *peerpb.News {
+	w := &peerpb.News{}
+	for _, n := range n.Nodes {
+		w.Nodes = append(w.Nodes, nodeToWire(n))
+	}
+	for _, f := range n.Facts {
+		w.Facts = append(w.Facts, factToWire(f))
+	}
+	return w
+}
+
+// newsFromWire leaves out what isn't whole.
+func newsFromWire(w *peerpb.News) roster.News {
+	n := roster.News{}
+	for _, v := range w.GetNodes() {
+		if node, ok := nodeFromWire(v); ok {
+			n.Nodes = append(n.Nodes, node)
+		}
+	}
+	for _, v := range w.GetFacts() {
+		if v.GetGroup() == "" || v.GetPrimary() == "" {
+			continue
+		}
+		n.Facts = append(n.Facts, egret.GroupFact{
+			Group:   v.GetGroup(),
+			Term:    v.GetTerm(),
+			Primary: v.GetPrimary(),
+		})
+	}
+	return n
+}
