pgsim: a stand-in of a database member

The proxy needs members to talk to that speak PostgreSQL's protocol and keep to docs/ASSUMPTIONS.md. A real server was ruled out: it has no terms, and no settable lag, slots or connection cost.

--- /dev/null
+++ b/egretlab/pgsim/handshake.go
@@ -0,0 +1,77 @@
+package pgsim
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"egretlane.example/egret/egretlab/pgsim/sess"
+)
+
+// handshake is the start-up of a connection.
+type handshake struct {
+	// conn is the connection.
+	conn net.Conn
+
+	// backend reads from and writes to conn.
+	backend *pgproto3.Backend
+}
+
+// key is what a client needs to cancel a statement.
+type key struct {
+	// process is the connection's number.
+	process uint32
+
+	// secret is random.
+	secret uint32
+}
+
+// receive returns the message that starts a connection. Encryption is declined.
+func (h *handshake) receive(ctx context.Context) (pgproto3.FrontendMessage, error) {
+	stop := context.AfterFunc(ctx, func() {
+		// Until a session has started, nothing is owed to the client.
+		_ = h.conn.SetReadDeadline(time.Now())
+	})
+	defer stop()
+	for {
+		m, err := h.backend.ReceiveStartupMessage()
+		if err != nil {
+			h.refuse(err)
+			return nil, errors.Trace(err)
+		}
+		switch m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := h.conn.Write([]byte{'N'}); err != nil {
+				return nil, errors.Trace(err)
+			}
+		default:
+			return m, nil
+		}
+	}
+}
+
+// accept lets the client in.
+func (h *handshake) accept(settings []*pgproto3.ParameterStatus, k key) error {
+	h.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, s := range settings {
+		h.backend.Send(s)
+	}
+	h.backend.Send(&pgproto3.BackendKeyData{
+		ProcessID: k.process,
+		SecretKey: binary.BigEndian.AppendUint32(nil, k.secret),
+	})
+	h.backend.Send(&pgproto3.ReadyForQuery{
+		TxStatus: 'I',
+	})
+	return errors.Trace(h.backend.Flush())
+}
+
+// refuse tells the client why it isn't let in.
+func (h *handshake) refuse(reason error) {
+	h.backend.Send(sess.Response("FATAL", reason))
+	_ = h.backend.Flush()
+}
