lane, fair: run transactions on members that this proxy holds

Cause: connections and slots of members are scarce, so one place has to hold and share them. Writes ask for the member's state instead of its position: a position alone doesn't show that the member was primary in one term throughout.

--- /dev/null
+++ b/lane/beat.go
@@ -0,0 +1,150 @@
+package lane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+const (
+	// beatInterval is the time between two heartbeats.
+	beatInterval = 250 * time.Millisecond
+
+	// beatWait bounds a heartbeat.
+	beatWait = 600 * time.Millisecond
+
+	// freshState is how old a state may be that writes rely on to find the primary.
+	freshState = 2 * time.Second
+)
+
+// beat asks the member, and the primary if that is another one, for their states until the lane is
+// stopped.
+func (l *lane) beat() {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		l.beatOnce()
+		select {
+		case <-ticker.C:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *lane) beatOnce() {
+	ctx, cancel := context.WithTimeout(l.ctx, beatWait)
+	defer cancel()
+	asks := sync.WaitGroup{}
+	if p := l.primary(); p != nil {
+		asks.Go(func() {
+			l.samplePrimary(ctx, *p)
+		})
+	}
+	l.sampleMember(ctx)
+	asks.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropIdle(time.Now().Add(-idleLimit), closedIdle)
+	switch {
+	case l.unreachable():
+		l.refuse(l.queue.Fresh(), l.noMember())
+	case l.state.Leaving || l.settings.member.Leaving:
+		l.refuse(l.queue.Fresh(), l.refusal(time.Now()))
+	}
+	l.gauge()
+}
+
+// primary returns the group's primary if that is another member.
+func (l *lane) primary() *egret.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state.Role == egret.RolePrimary {
+		return nil
+	}
+	fact, found := l.holder.Peers.Primary(l.settings.group.Name)
+	if !found || fact.Primary == l.name {
+		return nil
+	}
+	return l.settings.group.Member(fact.Primary)
+}
+
+// samplePrimary takes a sample of the primary's position.
+func (l *lane) samplePrimary(ctx context.Context, m egret.Member) {
+	asked := time.Now()
+	state, err := l.holder.Control.Status(ctx, m)
+	if err != nil || state.Role != egret.RolePrimary {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ages.add(sample{
+		asked:    asked,
+		position: state.Received,
+	})
+}
+
+// sampleMember takes the member's heartbeat.
+func (l *lane) sampleMember(ctx context.Context) {
+	state, err := l.holder.Control.Status(ctx, l.member())
+	if err == nil {
+		l.note(state)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() == nil {
+		l.missed++
+	}
+}
+
+// note takes over a state of the member, unless a later one is known.
+func (l *lane) note(state egret.MemberState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.missed = 0
+	if state.Sampled.After(l.state.Sampled) {
+		l.state = state
+	}
+}
+
+// primaryTerm returns the term in which the member is primary. A state that is old or says
+// otherwise is asked for anew, so that a primary takes writes as soon as it was promoted.
+func (l *lane) primaryTerm(ctx context.Context) (uint64, *egret.Failure) {
+	l.mu.Lock()
+	state := l.state
+	l.mu.Unlock()
+	if state.Role != egret.RolePrimary || time.Since(state.Sampled) > freshState {
+		ctx, cancel := context.WithTimeout(ctx, beatWait)
+		defer cancel()
+		asked, err := l.holder.Control.Status(ctx, l.member())
+		if err != nil {
+			return 0, notRun(egret.ReasonMember, "member %s gives no answer: %v", l.name, err)
+		}
+		l.note(asked)
+		state = asked
+	}
+	if state.Role != egret.RolePrimary {
+		return 0, notRun(egret.ReasonNotPrimary, "member %s is not primary", l.name)
+	}
+	return state.Granted, nil
+}
+
+// tooOld refuses a read whose data may be older than it accepts. The primary's data has no age.
+func (l *lane) tooOld(o egret.Opening, begun bool) *egret.Failure {
+	if o.MaxAge <= 0 || begun {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state.Role == egret.RolePrimary {
+		return nil
+	}
+	age := l.ages.bound(l.state, time.Now())
+	if age < 0 || age > o.MaxAge {
+		return notRun(egret.ReasonFloor, "member %s: data may be older than %s", l.name, o.MaxAge)
+	}
+	return nil
+}
--- /dev/null
+++ b/lane/keyword.go
@@ -0,0 +1,57 @@
+package lane
+
+import "strings"
+
+// keyword returns the first word of a statement in upper case, after blanks and comments.
+func keyword(query string) string {
+	query = skipComments(query)
+	end := strings.IndexFunc(query, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	})
+	if end < 0 {
+		end = len(query)
+	}
+	return strings.ToUpper(query[:end])
+}
+
+func skipComments(query string) string {
+	for {
+		query = strings.TrimLeft(query, " \t\r\n;(")
+		switch {
+		case strings.HasPrefix(query, "--"):
+			_, query, _ = strings.Cut(query, "\n")
+		case strings.HasPrefix(query, "/*"):
+			_, query, _ = strings.Cut(query, "*/")
+		default:
+			return query
+		}
+	}
+}
+
+// opensTransaction reports whether a statement with the keyword opens a transaction.
+func opensTransaction(keyword string) bool {
+	return keyword == "BEGIN" || keyword == "START"
+}
+
+// endsTransaction reports whether a statement with the keyword may end a transaction.
+func endsTransaction(keyword string) bool {
+	return keyword == "COMMIT" || keyword == "END" || keyword == "ROLLBACK" || keyword == "ABORT"
+}
+
+// writesTag reports whether a command tag may stand for a write. Doubt counts as a write.
+func writesTag(tag string, readOnly bool) bool {
+	switch keyword(tag) {
+	case "SELECT", "SHOW", "ROLLBACK", "BEGIN", "START", "SET", "RESET", "FETCH", "MOVE", "DECLARE", "CLOSE",
+		"EXPLAIN", "SAVEPOINT", "RELEASE":
+		return false
+	case "COMMIT":
+		return !readOnly
+	default:
+		return true
+	}
+}
+
+// hasEffect reports whether a command tag stands for more than the start of a transaction.
+func hasEffect(tag string) bool {
+	return !opensTransaction(keyword(tag))
+}
