--- a/egretctl/apply.go
+++ b/egretctl/apply.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"os/user"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,6 +16,9 @@
 	"egretlane.example/egret/table/form"
 )
 
+// maxSummaryParts bounds what a summary lists.
+const maxSummaryParts = 3
+
 func applyCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "apply",
@@ -120,14 +124,20 @@
 	return u.Username
 }
 
-// summary says in one line what differs.
+// summary says in one line what differs: a single difference in full, else the parts.
 func summary(found []table.Difference) string {
-	switch len(found) {
-	case 0:
+	if len(found) == 0 {
 		return "no difference"
-	case 1:
+	}
+	if len(found) == 1 {
 		return found[0].String()
-	default:
-		return fmt.Sprintf("%s, and %d more", found[0], len(found)-1)
 	}
+	parts := []string{}
+	for _, d := range found[:min(len(found), maxSummaryParts)] {
+		parts = append(parts, string(d.Sign)+" "+d.Part)
+	}
+	if more := len(found) - len(parts); more > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(parts, ", ")
 }
--- a/egretctl/edit.go
+++ b/egretctl/edit.go
@@ -129,7 +129,7 @@
 	d.notes = []string{"The tables have faults. Leave the text as it is to give up."}
 	offset := len(findings) + len(d.notes)
 	for _, f := range findings {
-		f.Place.File = "line"
+		f.Place.File = "this file"
 		if f.Place.Line > 0 {
 			f.Place.Line += offset
 		}
--- a/egretctl/main.go
+++ b/egretctl/main.go
@@ -19,8 +19,17 @@
 	"egretlane.example/egret/table"
 )
 
-// defaultTimeout bounds a command's calls.
-const defaultTimeout = 30 * time.Second
+// The bounds of a command's calls.
+const (
+	// defaultTimeout is for all calls together.
+	defaultTimeout = 30 * time.Second
+
+	// callTimeout is for one call of the store, which may be slow.
+	callTimeout = 10 * time.Second
+
+	// askTimeout is for one proxy's status.
+	askTimeout = 5 * time.Second
+)
 
 const description = `Operators drive egretlane by two tables: routes and pools. They are one value in the platform's
 store, with a revision that rises with each change.
@@ -122,6 +131,7 @@
 	}
 	client := &store.Client{
 		Address: a,
+		Timeout: callTimeout,
 	}
 	return &session{
 		editor: &table.Editor{
--- a/egretctl/status.go
+++ b/egretctl/status.go
@@ -115,6 +115,8 @@
 	defer func() {
 		_ = conn.Close()
 	}()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	r, err := peerpb.NewPeerClient(conn).Status(ctx, &peerpb.StatusRequest{})
 	return r, errors.Trace(err)
 }
--- a/egretctl/tables.go
+++ b/egretctl/tables.go
@@ -49,6 +49,7 @@
 			err:    errors.Errorf("%s found", count(len(faults), "fault")),
 		}
 	}
+	fmt.Fprintln(c.Root().Writer, "no faults")
 	return nil
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -28,8 +28,8 @@
 
 // The bounds of a Client that sets none.
 const (
-	// DefaultTimeout bounds a call.
-	DefaultTimeout = 2 * time.Second
+	// DefaultTimeout bounds a call. It leaves a slow store time to answer.
+	DefaultTimeout = 5 * time.Second
 
 	// DefaultWatchWait is how long the store holds a watch back.
 	DefaultWatchWait = 10 * time.Second
--- /dev/null
+++ b/table/form/form_test.go
@@ -0,0 +1,83 @@
+package form
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestFindings compares what is found in each file of testdata with its golden file. Set
+// EGRET_UPDATE=1 to write the golden files.
+func TestFindings(t *testing.T) {
+	files, err := filepath.Glob("testdata/*")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("Glob = %v, %v", files, err)
+	}
+	for _, f := range files {
+		if filepath.Ext(f) == ".golden" {
+			continue
+		}
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			_, findings := Parse(filepath.Base(f), read(t, f))
+			compare(t, f+".golden", findings.String()+"\n")
+		})
+	}
+}
+
+func compare(t *testing.T, golden string, got string) {
+	t.Helper()
+	if os.Getenv("EGRET_UPDATE") != "" {
+		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := string(read(t, golden))
+	if got != want {
+		t.Errorf("%s: got\n%swant\n%s", golden, got, want)
+	}
+}
+
+func read(t *testing.T, name string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestFormsReadBackTheSame(t *testing.T) {
+	want, findings := Parse("tables.yaml", read(t, "../../example/tables.yaml"))
+	if len(findings) > 0 {
+		t.Fatalf("the example has findings:\n%s", findings)
+	}
+	y, err := YAML(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j, err := JSON(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range [][]byte{y, j} {
+		got, findings := Parse("again", text)
+		if len(findings) > 0 || !reflect.DeepEqual(got, want) {
+			t.Errorf("read back %+v, %v, want %+v\n%s", got, findings, want, text)
+		}
+	}
+}
+
+// A proxy takes tables that a later version of egretlane has written.
+func TestStoredTablesMayHaveUnknownKeys(t *testing.T) {
+	text := `{"later":1,"routes":[],"pools":[],"edits":[{"id":"e","author":"a","time":"2026-01-02T03:04:05Z","summary":"s","later":2}]}`
+	got, findings := ParseStored([]byte(text))
+	if findings.HasFaults() || len(got.Edits) != 1 || got.Edits[0].ID != "e" {
+		t.Errorf("ParseStored = %+v, %v", got, findings)
+	}
+	_, findings = Parse("file", []byte(text))
+	if !strings.Contains(findings.String(), `unknown key "later"`) || !findings.HasFaults() {
+		t.Errorf("Parse found %v, want a fault for the unknown key", findings)
+	}
+}
--- a/table/form/parse.go
+++ b/table/form/parse.go
@@ -22,7 +22,7 @@
 const (
 	defaultClass       = egret.ClassNormal
 	defaultBudget      = 5 * time.Second
-	defaultConfirmWait = time.Second
+	defaultConfirmWait = time.Second // Or the budget, if that is shorter.
 	defaultReserve     = 4
 	defaultQueue       = 1000
 	defaultOrderShare  = 80
@@ -105,7 +105,8 @@
 	return bytes.ReplaceAll(data, []byte("\t"), []byte(" "))
 }
 
-// syntax reports an error of the YAML library, which names no line if it is the first.
+// syntax reports an error of the YAML library. It names the line where the broken part starts, and no
+// line if that is the first.
 func (r *reader) syntax(err error) {
 	text := err.Error()
 	p := Place{
@@ -119,7 +120,7 @@
 	r.findings = append(r.findings, Finding{
 		Place:    p,
 		Severity: Fault,
-		Text:     strings.TrimPrefix(text, "yaml: "),
+		Text:     strings.TrimPrefix(text, "yaml: ") + " (here or below)",
 	})
 }
 
@@ -143,6 +144,7 @@
 	routes := make([]egret.Route, 0, len(nodes))
 	for i, n := range nodes {
 		f := r.mapping(fmt.Sprintf("routes[%d]", i), n)
+		budget := f.spanOr("budget", defaultBudget)
 		routes = append(routes, egret.Route{
 			Name:        f.text("name"),
 			Caller:      f.text("caller"),
@@ -150,11 +152,11 @@
 			Kinds:       f.texts("kinds"),
 			Pool:        f.text("pool"),
 			Class:       egret.Class(f.textOr("class", string(defaultClass))),
-			Budget:      f.spanOr("budget", defaultBudget),
+			Budget:      budget,
 			MaxAge:      f.spanOr("max-age", 0),
 			Replicas:    f.flagOr("replicas", true),
 			Repeatable:  f.flagOr("repeatable", false),
-			ConfirmWait: f.spanOr("confirm-wait", defaultConfirmWait),
+			ConfirmWait: f.spanOr("confirm-wait", min(defaultConfirmWait, budget)),
 		})
 		f.end()
 	}
--- a/table/form/pools.go
+++ b/table/form/pools.go
@@ -100,7 +100,7 @@
 		c.fault(path, "group %q has no members", g.Name)
 		return
 	case n < membersForPromotion:
-		c.warn(path, "group %q has %d members: promotion and confirmation need %d", g.Name, n, membersForPromotion)
+		c.warn(path, "group %q has %d of the %d members that promotion and confirmation need", g.Name, n, membersForPromotion)
 	case n%2 == 0:
 		c.warn(path, "group %q has %d members: an even number outlives no more failures than %d", g.Name, n, n-1)
 	}
