peer: compare at once with proxies that were unknown or dead

Cause: 20 proxies needed 5 s to know each other, and a fact took 7 s to cross a healed split, since differences wait until news should have come. Ruled out: shorter waits, which pull whole buckets for news on their way. Change: two proxies that find each other compare both ways at once, joins are urgent, and the allowance for urgent news is larger. Conclusion: joining and healing no longer depend on the quiet time.

--- a/peer/allow.go
+++ b/peer/allow.go
@@ -4,8 +4,8 @@
 
 // Bytes that repairs and urgent news may take beyond the regular rounds.
 const (
-	allowanceRate  = 2 << 10
-	allowanceBurst = 128 << 10
+	allowanceRate  = 3 << 10
+	allowanceBurst = 512 << 10
 )
 
 // allowance is a token bucket of bytes.
--- a/peer/beat.go
+++ b/peer/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 	floodFleet = 16
 
 	// exchangeSize is about what an exchange takes on the wire, in bytes.
-	exchangeSize = 1400
+	exchangeSize = 1000
 
 	// pauseGap is the delay of a round from which on this process counts as paused.
 	pauseGap = time.Second
@@ -266,18 +267,22 @@
 	}
 }
 
-// call makes one exchange.
+// call makes one exchange of a round.
 func (m *Mesh) call(ctx context.Context, n egret.Node) (*peerpb.ExchangeReply, error) {
-	cc, err := m.pool.Conn(n.Address)
+	return m.send(ctx, n.Address, m.request(n.ID))
+}
+
+func (m *Mesh) send(ctx context.Context, a netip.AddrPort, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	cc, err := m.pool.Conn(a)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.Timing.Timeout)
 	defer cancel()
-	return peerpb.NewPeerClient(cc).Exchange(ctx, m.request(n.ID))
+	return peerpb.NewPeerClient(cc).Exchange(ctx, r)
 }
 
-// request makes the message to a proxy.
+// request makes the message of a round to a proxy.
 func (m *Mesh) request(id string) *peerpb.ExchangeRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/counts.go
+++ b/peer/counts.go
@@ -106,7 +106,6 @@
 		grpc.StaticConnWindowSize(serverConnWindow),
 		grpc.ReadBufferSize(serverBuffer),
 		grpc.WriteBufferSize(serverBuffer),
-		grpc.SharedWriteBuffer(true),
 	}
 }
 
--- a/peer/dial/dial.go
+++ b/peer/dial/dial.go
@@ -150,7 +150,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, l := range p.links {
-		l.cc.Close()
+		_ = l.cc.Close()
 		delete(p.links, a)
 	}
 }
@@ -164,7 +164,7 @@
 	defer p.mu.Unlock()
 	for a, l := range p.links {
 		if l.active == 0 && now.Sub(l.used) > idle {
-			l.cc.Close()
+			_ = l.cc.Close()
 			delete(p.links, a)
 		}
 	}
@@ -176,11 +176,11 @@
 	idle := l.active == 0
 	p.mu.Unlock()
 	if idle {
-		l.cc.Close()
+		_ = l.cc.Close()
 		return
 	}
 	time.AfterFunc(drainTime, func() {
-		l.cc.Close()
+		_ = l.cc.Close()
 	})
 }
 
@@ -235,7 +235,6 @@
 		grpc.WithStaticConnWindowSize(connWindow),
 		grpc.WithReadBufferSize(connBuffer),
 		grpc.WithWriteBufferSize(connBuffer),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithStatsHandler(p.traces()),
 	}
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -50,6 +50,15 @@
 	return d
 }
 
+// answer is the digest of a reply. A request without hashes asks for those of the buckets; else
+// they go out only when the difference is likely to last. The caller holds mu.
+func (m *Mesh) answer(theirs *peerpb.Digest, now time.Time) *peerpb.Digest {
+	if len(theirs.GetNodes()) == 0 || m.quiet(now) {
+		return m.longDigest(theirs)
+	}
+	return m.shortDigest()
+}
+
 func differ(a, b []uint64) bool {
 	return len(a) != 1 || len(b) != 1 || a[0] != b[0]
 }
@@ -78,18 +87,48 @@
 	if reply.GetDigest().GetRevision() > m.revisionNow() {
 		go m.pullTables(ctx, from.Address)
 	}
-	request := m.difference(reply.GetDigest(), time.Now())
+	m.compare(ctx, from.Address, reply.GetDigest(), false)
+}
+
+// compare pulls what differs from a proxy's digest. Met says that the two have just found each
+// other, so that the difference won't go by itself.
+func (m *Mesh) compare(ctx context.Context, a netip.AddrPort, d *peerpb.Digest, met bool) {
+	request := m.difference(d, met, time.Now())
 	if request == nil {
 		return
 	}
 	m.counts.pulls.WithLabelValues("buckets").Inc()
-	pulled, err := m.pull(ctx, from.Address, request)
+	pulled, err := m.pull(ctx, a, request)
 	if err != nil {
 		return
 	}
 	m.repaired(pulled.GetNews())
 }
 
+// meet compares all with a proxy that was unknown or dead here, in both directions.
+func (m *Mesh) meet(ctx context.Context, a netip.AddrPort) {
+	m.mu.Lock()
+	self := nodeToWire(m.table.Self())
+	m.mu.Unlock()
+	reply, err := m.send(ctx, a, &peerpb.ExchangeRequest{
+		From:   self,
+		Digest: &peerpb.Digest{},
+	})
+	if err != nil {
+		return
+	}
+	m.learn(reply.GetFrom(), reply.GetNews())
+	m.compare(ctx, a, reply.GetDigest(), true)
+	m.mu.Lock()
+	digest := m.longDigest(&peerpb.Digest{})
+	m.mu.Unlock()
+	// The other side compares when it gets the hashes of the buckets.
+	_, _ = m.send(ctx, a, &peerpb.ExchangeRequest{
+		From:   self,
+		Digest: digest,
+	})
+}
+
 // learn takes in what a proxy says of itself and its news.
 func (m *Mesh) learn(from *peerpb.Node, news *peerpb.News) {
 	now := time.Now()
@@ -116,11 +155,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := roster.Change{}
+	changed := 0
 	for _, v := range n.Nodes {
 		r := m.table.Merge(v, now)
 		if r.Stale {
 			m.table.Tell(v.ID)
 		}
+		if r.Changed {
+			changed++
+		}
 		c.Add(r)
 	}
 	for _, v := range n.Facts {
@@ -128,16 +171,19 @@
 		if r.Stale {
 			m.table.TellFact(v.Group)
 		}
+		if r.Changed {
+			changed++
+		}
 		c.Add(r)
 	}
-	// Others find the same difference by their own digests.
-	c.Urgent = c.Refuted
+	// Much at once goes with the rounds, and others find it by their own digests.
+	c.Urgent = c.Refuted || c.Urgent && changed <= floodFleet
 	m.settle(c)
 }
 
 // difference returns a request for the buckets that differ, or nil if there are none, or if they
 // are left for a later round.
-func (m *Mesh) difference(d *peerpb.Digest, now time.Time) *peerpb.PullRequest {
+func (m *Mesh) difference(d *peerpb.Digest, met bool, now time.Time) *peerpb.PullRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := m.shortDigest()
@@ -155,7 +201,7 @@
 		request.FactBuckets = m.affordable(facts.Differ(d.GetFacts()), len(m.table.Facts()))
 	}
 	buckets := len(request.NodeBuckets) + len(request.FactBuckets)
-	if buckets == 0 || !m.quiet(now) {
+	if buckets == 0 || !met && !m.quiet(now) {
 		return nil
 	}
 	if !m.repair.take(buckets*m.table.Size()/roster.Buckets*entrySize, now) {
--- a/peer/roster/roster.go
+++ b/peer/roster/roster.go
@@ -192,7 +192,7 @@
 	}
 	return Change{
 		Changed: true,
-		Urgent:  spread && !fresh && (known || n.State != egret.NodeAlive),
+		Urgent:  spread && !fresh,
 	}
 }
 
--- a/peer/seek.go
+++ b/peer/seek.go
@@ -145,6 +145,7 @@
 		m.join(ctx, a)
 	}
 	m.absorb(ctx, reply)
+	m.meet(ctx, a)
 }
 
 // join pulls all state from a proxy.
--- a/peer/server.go
+++ b/peer/server.go
@@ -31,15 +31,15 @@
 		// The pull outlives the request.
 		go m.pullTables(context.Background(), from.Address)
 	}
+	if len(r.GetDigest().GetNodes()) == roster.Buckets {
+		// The pull outlives the request, too.
+		go m.compare(context.Background(), from.Address, r.GetDigest(), true)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	digest := m.shortDigest()
-	if m.quiet(time.Now()) {
-		digest = m.longDigest(r.GetDigest())
-	}
 	return &peerpb.ExchangeReply{
 		From:   nodeToWire(m.table.Self()),
-		Digest: digest,
+		Digest: m.answer(r.GetDigest(), time.Now()),
 		News:   m.newsFor(from.ID),
 	}, nil
 }
