--- a/lane/ages.go
+++ b/lane/ages.go
@@ -10,7 +10,7 @@
 const maxSamples = 64
 
 // unknownLag is the lag of a member about which too little is known.
-const unknownLag = time.Duration(-1)
+const unknownLag = -time.Microsecond
 
 // ages tells how old a replica's data is, from samples of the primary's position. Only this
 // process's clock is used.
