pgsim: split sessions by what they run

Statements on the table go to exec, the platform's functions to plat, settings to vars; sess keeps the protocol and the transaction. A client that asks for protocol 3.2 is told that this is 3.0, and a broken start-up is answered with 08P01.

--- a/egretlab/pgsim/core/failure.go
+++ b/egretlab/pgsim/core/failure.go
@@ -49,8 +49,8 @@
 	return fmt.Sprintf("%s (SQLSTATE %s)", e.Message, e.Code)
 }
 
-// refuse returns an *Error.
-func refuse(code string, format string, arguments ...any) error {
+// Refuse returns an *Error.
+func Refuse(code string, format string, arguments ...any) error {
 	return &Error{
 		Code:    code,
 		Message: fmt.Sprintf(format, arguments...),
@@ -59,5 +59,5 @@
 
 // refuseTerm says which term was granted, in the words that clients look for.
 func (m *Member) refuseTerm() error {
-	return refuse(CodeTerm, "member %s has granted term %d", m.Name, m.grant.Term)
+	return Refuse(CodeTerm, "member %s has granted term %d", m.Name, m.grant.Term)
 }
--- a/egretlab/pgsim/core/member.go
+++ b/egretlab/pgsim/core/member.go
@@ -241,7 +241,7 @@
 // setGrant keeps a grant and then takes it on.
 func (m *Member) setGrant(g walog.Grant) error {
 	if err := walog.SaveGrant(m.Folder, g); err != nil {
-		return refuse(CodeStorage, "%s", err)
+		return Refuse(CodeStorage, "%s", err)
 	}
 	m.grant = g
 	m.notify()
--- a/egretlab/pgsim/core/role.go
+++ b/egretlab/pgsim/core/role.go
@@ -33,7 +33,7 @@
 		return State{}, m.refuseTerm()
 	}
 	if m.grant.Term < term || m.grant.Role == egret.RoleReplica {
-		return State{}, refuse(CodeRole, "member %s is not fenced in term %d", m.Name, term)
+		return State{}, Refuse(CodeRole, "member %s is not fenced in term %d", m.Name, term)
 	}
 	if m.grant.Role == egret.RolePrimary {
 		return m.state(), nil
@@ -47,7 +47,7 @@
 		return State{}, err
 	}
 	if err := m.openTerm(); err != nil {
-		return State{}, refuse(CodeStorage, "%s", err)
+		return State{}, Refuse(CodeStorage, "%s", err)
 	}
 	return m.state(), nil
 }
@@ -61,7 +61,7 @@
 		return State{}, m.refuseTerm()
 	}
 	if m.grant.Term == term && m.grant.Role == egret.RolePrimary {
-		return State{}, refuse(CodeRole, "member %s is primary in term %d", m.Name, term)
+		return State{}, Refuse(CodeRole, "member %s is primary in term %d", m.Name, term)
 	}
 	g := walog.Grant{
 		Term:     term,
@@ -89,7 +89,7 @@
 		return err
 	}
 	if !s.Applied.Reaches(floor) {
-		return refuse(CodeFloor, "member %s has applied %s and not reached %s in %s", m.Name, s.Applied, floor, wait)
+		return Refuse(CodeFloor, "member %s has applied %s and not reached %s in %s", m.Name, s.Applied, floor, wait)
 	}
 	return nil
 }
--- a/egretlab/pgsim/core/stream.go
+++ b/egretlab/pgsim/core/stream.go
@@ -46,7 +46,7 @@
 		return nil
 	}
 	if err := m.log.Truncate(offset); err != nil {
-		return refuse(CodeStorage, "%s", err)
+		return Refuse(CodeStorage, "%s", err)
 	}
 	if offset < m.applied.Offset {
 		m.rebuild(offset)
@@ -67,10 +67,10 @@
 	now := m.Now()
 	for _, e := range entries {
 		if e.Term > g.Term {
-			return refuse(CodeTerm, "entry %s in a stream of term %d", e.Position(), g.Term)
+			return Refuse(CodeTerm, "entry %s in a stream of term %d", e.Position(), g.Term)
 		}
 		if err := m.log.Append(e); err != nil {
-			return refuse(CodeStorage, "%s", err)
+			return Refuse(CodeStorage, "%s", err)
 		}
 		m.arrivals = append(m.arrivals, now)
 	}
@@ -83,7 +83,7 @@
 		return m.refuseTerm()
 	}
 	if m.grant.Term < term || m.grant.Role != egret.RolePrimary {
-		return refuse(CodeRole, "member %s is not primary in term %d", m.Name, term)
+		return Refuse(CodeRole, "member %s is not primary in term %d", m.Name, term)
 	}
 	return nil
 }
--- a/egretlab/pgsim/core/transact.go
+++ b/egretlab/pgsim/core/transact.go
@@ -114,7 +114,7 @@
 		return err
 	}
 	if _, found := t.read(o.ID); found {
-		return refuse(CodeDuplicate, "duplicate key value violates unique constraint \"orders_pkey\": id %q exists", o.ID)
+		return Refuse(CodeDuplicate, "duplicate key value violates unique constraint \"orders_pkey\": id %q exists", o.ID)
 	}
 	t.note(walog.Change{
 		Operation: walog.Insert,
@@ -159,7 +159,7 @@
 		return nil
 	}
 	if m.grant.Role != egret.RolePrimary || m.grant.Term != t.term {
-		return refuse(CodeRolledBack, "transaction of term %d rolled back: member %s has granted term %d",
+		return Refuse(CodeRolledBack, "transaction of term %d rolled back: member %s has granted term %d",
 			t.term, m.Name, m.grant.Term)
 	}
 	err := m.append(walog.Entry{
@@ -168,7 +168,7 @@
 		Origin:  t.origin,
 	})
 	if err != nil {
-		return refuse(CodeStorage, "%s", err)
+		return Refuse(CodeStorage, "%s", err)
 	}
 	return nil
 }
@@ -213,10 +213,10 @@
 func (t *Transaction) mayWrite(command string) error {
 	m := t.member
 	if t.ReadOnly {
-		return refuse(CodeReadOnly, "cannot execute %s in a read-only transaction", command)
+		return Refuse(CodeReadOnly, "cannot execute %s in a read-only transaction", command)
 	}
 	if m.grant.Role != egret.RolePrimary {
-		return refuse(CodeReadOnly, "cannot execute %s: member %s is %s", command, m.Name, m.grant.Role)
+		return Refuse(CodeReadOnly, "cannot execute %s: member %s is %s", command, m.Name, m.grant.Role)
 	}
 	if t.term == 0 {
 		t.term = m.grant.Term
@@ -251,7 +251,7 @@
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-limit.C:
-			return refuse(CodeLockWait, "no lock on id %q in %s", id, t.member.LockWait)
+			return Refuse(CodeLockWait, "no lock on id %q in %s", id, t.member.LockWait)
 		case <-holder.done:
 		}
 		var err error
--- a/egretlab/pgsim/directory.go
+++ b/egretlab/pgsim/directory.go
@@ -91,14 +91,14 @@
 	c.session.Cancel()
 }
 
-// Connections implements sess.Directory.
+// Connections implements plat.Directory.
 func (d *directory) Connections() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.clients)
 }
 
-// Terminate implements sess.Directory.
+// Terminate implements plat.Directory.
 func (d *directory) Terminate(process uint32) bool {
 	c := d.find(process)
 	if c == nil {
--- a/egretlab/pgsim/doc.go
+++ b/egretlab/pgsim/doc.go
@@ -8,6 +8,7 @@
 //	}
 //	err := s.Run(ctx, listener)
 //
-// Below it, core is the member's state, walog its log, repl the replication, query the language,
-// sess a client's session; codec, locks, slots and stats serve sess.
+// Below it, core is the member's state, walog its log and repl the replication. A client's session
+// is in sess: query reads the statements, exec runs them, plat has the platform's functions. The
+// packages codec, locks, slots, stats and vars serve these.
 package pgsim
--- a/egretlab/pgsim/sess/result.go
+++ b/egretlab/pgsim/exec/result.go
@@ -1,4 +1,4 @@
-package sess
+package exec
 
 import (
 	"fmt"
@@ -8,53 +8,54 @@
 	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
-// rows is a result's rows, one after the other.
-type rows interface {
-	// next returns the next row, or false at the end.
-	next() ([]codec.Value, bool)
+// Rows is a result's rows, one after the other.
+type Rows interface {
+	// Next returns the next row, or false at the end.
+	Next() ([]codec.Value, bool)
 }
 
-// result is what a statement returns.
-type result struct {
-	// command is the first word of the command tag.
-	command string
+// Result is what a statement returns.
+type Result struct {
+	// Command is the first word of the command tag.
+	Command string
 
-	// affected is how many rows a write changed.
-	affected int
+	// Affected is how many rows a write changed.
+	Affected int
 
-	// columns is empty if the statement returns no rows.
-	columns []codec.Column
+	// Columns is empty if the statement returns no rows.
+	Columns []codec.Column
 
-	// rows is never nil.
-	rows rows
+	// Rows is never nil.
+	Rows Rows
 }
 
-// tag returns the command tag after the given number of rows.
-func (r *result) tag(count int) string {
-	switch r.command {
+// Tag returns the command tag after the given number of rows.
+func (r *Result) Tag(count int) string {
+	switch r.Command {
 	case "SELECT":
 		return fmt.Sprintf("SELECT %d", count)
 	case "INSERT":
-		return fmt.Sprintf("INSERT 0 %d", r.affected)
+		return fmt.Sprintf("INSERT 0 %d", r.Affected)
 	case "UPDATE", "DELETE":
-		return fmt.Sprintf("%s %d", r.command, r.affected)
+		return fmt.Sprintf("%s %d", r.Command, r.Affected)
 	default:
-		return r.command
+		return r.Command
 	}
 }
 
-// list is rows that are known already.
-type list struct {
-	// rest is the rows that are still to come.
-	rest [][]codec.Value
+// List is rows that are known already.
+type List struct {
+	// Rest is the rows that are still to come.
+	Rest [][]codec.Value
 }
 
-func (l *list) next() ([]codec.Value, bool) {
-	if len(l.rest) == 0 {
+// Next implements Rows.
+func (l *List) Next() ([]codec.Value, bool) {
+	if len(l.Rest) == 0 {
 		return nil, false
 	}
-	row := l.rest[0]
-	l.rest = l.rest[1:]
+	row := l.Rest[0]
+	l.Rest = l.Rest[1:]
 	return row, true
 }
 
@@ -67,7 +68,7 @@
 	last int64
 }
 
-func (s *series) next() ([]codec.Value, bool) {
+func (s *series) Next() ([]codec.Value, bool) {
 	if s.at > s.last {
 		return nil, false
 	}
@@ -76,17 +77,24 @@
 	return []codec.Value{codec.String(text)}, true
 }
 
-// none is the result of a statement without rows.
-func none(command string) *result {
-	return &result{
-		command: command,
-		rows:    &list{},
+// One returns a single row.
+func One(values ...codec.Value) *List {
+	return &List{
+		Rest: [][]codec.Value{values},
+	}
+}
+
+// None is the result of a statement without rows.
+func None(command string) *Result {
+	return &Result{
+		Command: command,
+		Rows:    &List{},
 	}
 }
 
 // orderRows returns the columns asked for of each order.
-func orderRows(columns []string, orders []core.Order) *list {
-	l := &list{}
+func orderRows(columns []string, orders []core.Order) *List {
+	l := &List{}
 	for _, o := range orders {
 		var row []codec.Value
 		for _, c := range columns {
@@ -96,13 +104,13 @@
 				row = append(row, codec.String(o.Item))
 			}
 		}
-		l.rest = append(l.rest, row)
+		l.Rest = append(l.Rest, row)
 	}
 	return l
 }
 
-// columnsOf returns the columns of a statement's result.
-func columnsOf(n query.Node) []codec.Column {
+// Columns returns the columns of a statement's result.
+func Columns(n query.Node) []codec.Column {
 	switch n := n.(type) {
 	case *query.Select:
 		if n.Count {
--- a/egretlab/pgsim/handshake.go
+++ b/egretlab/pgsim/handshake.go
@@ -9,9 +9,13 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/juju/errors"
 
+	"egretlane.example/egret/egretlab/pgsim/core"
 	"egretlane.example/egret/egretlab/pgsim/sess"
 )
 
+// codeProtocol refuses a start-up that is not understood.
+const codeProtocol = "08P01"
+
 // handshake is the start-up of a connection.
 type handshake struct {
 	// conn is the connection.
@@ -40,7 +44,7 @@
 	for {
 		m, err := h.backend.ReceiveStartupMessage()
 		if err != nil {
-			h.refuse(err)
+			h.refuse(core.Refuse(codeProtocol, "broken start-up: %s", err))
 			return nil, errors.Trace(err)
 		}
 		switch m.(type) {
@@ -54,6 +58,13 @@
 	}
 }
 
+// negotiate tells a client that asked for a later version that this is 3.0.
+func (h *handshake) negotiate() {
+	h.backend.Send(&pgproto3.NegotiateProtocolVersion{
+		NewestMinorProtocol: pgproto3.ProtocolVersion30,
+	})
+}
+
 // accept lets the client in.
 func (h *handshake) accept(settings []*pgproto3.ParameterStatus, k key) error {
 	h.backend.Send(&pgproto3.AuthenticationOk{})
--- a/egretlab/pgsim/operator.go
+++ b/egretlab/pgsim/operator.go
@@ -111,7 +111,7 @@
 
 func (s *Server) getState(w http.ResponseWriter, _ *http.Request) {
 	st := s.Member.State()
-	running, _ := s.host.Slots.Usage()
+	running, _ := s.host.Platform.Slots.Usage()
 	reply := StateReply{
 		Member:  s.Member.Name,
 		Role:    st.Grant.Role,
@@ -137,7 +137,7 @@
 
 func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
 	_, connections, refused := s.directory.usage()
-	_, running := s.host.Slots.Usage()
+	_, running := s.host.Platform.Slots.Usage()
 	answer(w, StatsReply{
 		HighestConnections: connections,
 		HighestRunning:     running,
--- /dev/null
+++ b/egretlab/pgsim/plat/plat.go
@@ -0,0 +1,175 @@
+// Package plat answers the functions that the platform adds to SQL: what a member says of its log and
+// its role, and the orders to fence, to promote and to follow.
+//
+//	r, err := platform.Call(ctx, holder, call, arguments)
+//
+// No function takes a statement slot or opens a transaction.
+package plat
+
+import (
+	"context"
+	"math"
+	"net/netip"
+
+	"egretlane.example/egret/egretlab/pgsim/codec"
+	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/exec"
+	"egretlane.example/egret/egretlab/pgsim/locks"
+	"egretlane.example/egret/egretlab/pgsim/query"
+	"egretlane.example/egret/egretlab/pgsim/slots"
+)
+
+// Platform answers the functions. Its fields are set before use.
+type Platform struct {
+	// Member is the member's state.
+	Member *core.Member
+
+	// Slots bounds how many statements run.
+	Slots *slots.Pool
+
+	// Locks holds the advisory locks.
+	Locks *locks.Table
+
+	// Faults is what operators ask the member to do wrong.
+	Faults *Faults
+
+	// Directory knows the connections.
+	Directory Directory
+}
+
+// Directory knows the connections of a member.
+type Directory interface {
+	// Connections returns how many connections count against the limit.
+	Connections() int
+
+	// Terminate ends a connection. It returns false if there is none with the number.
+	Terminate(process uint32) bool
+}
+
+// Call runs one of the platform's functions for a connection.
+func (p *Platform) Call(ctx context.Context, h locks.Holder, n *query.Call, a exec.Arguments) (*exec.Result, error) {
+	r := exec.None(n.Command())
+	r.Columns = exec.Columns(n)
+	var err error
+	switch n.Function.Name {
+	case query.FunctionLocks:
+		r.Rows = p.lockRows()
+	case query.FunctionTryLock, query.FunctionUnlock, query.FunctionTerminate:
+		r.Rows, err = p.connectionFunction(h, n, a)
+	case query.FunctionPosition:
+		end := p.Member.Position()
+		r.Rows = exec.One(codec.Uint(end.Term), codec.Uint(end.Offset))
+	case query.FunctionRequire:
+		r.Rows, err = p.require(ctx, n, a)
+	default:
+		r.Rows, err = p.stateFunction(ctx, n, a)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (p *Platform) lockRows() exec.Rows {
+	l := &exec.List{}
+	for _, k := range p.Locks.List() {
+		l.Rest = append(l.Rest, []codec.Value{
+			codec.Int(k.Key),
+			codec.Int(int64(k.Holder.Process)),
+			codec.String(k.Holder.Application),
+		})
+	}
+	return l
+}
+
+// connectionFunction runs a function of one number that answers with a bool.
+func (p *Platform) connectionFunction(h locks.Holder, n *query.Call, a exec.Arguments) (exec.Rows, error) {
+	key, err := a.Integer(n.Arguments[0])
+	if err != nil {
+		return nil, err
+	}
+	done := false
+	switch n.Function.Name {
+	case query.FunctionTryLock:
+		done = p.Locks.TryLock(h, key)
+	case query.FunctionUnlock:
+		done = p.Locks.Unlock(h.Process, key)
+	default:
+		done = key > 0 && key <= math.MaxUint32 && p.Directory.Terminate(uint32(key))
+	}
+	return exec.One(codec.Bool(done)), nil
+}
+
+func (p *Platform) require(ctx context.Context, n *query.Call, a exec.Arguments) (exec.Rows, error) {
+	floor, wait, err := a.Position(n)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.Member.Require(ctx, floor, wait); err != nil {
+		return nil, err
+	}
+	return exec.One(codec.Bool(true)), nil
+}
+
+// stateFunction runs a function that answers with the member's state.
+func (p *Platform) stateFunction(ctx context.Context, n *query.Call, a exec.Arguments) (exec.Rows, error) {
+	m := p.Member
+	switch n.Function.Name {
+	case query.FunctionStatus:
+		return p.stateRow(m.State()), nil
+	case query.FunctionAwait:
+		floor, wait, err := a.Position(n)
+		if err != nil {
+			return nil, err
+		}
+		st, err := m.Await(ctx, floor, wait)
+		return p.stateRow(st), err
+	}
+	term, err := a.Natural(n.Arguments[0])
+	if err != nil {
+		return nil, err
+	}
+	var st core.State
+	switch n.Function.Name {
+	case query.FunctionFence:
+		st, err = m.Fence(term)
+	case query.FunctionPromote:
+		st, err = m.Promote(term)
+	default:
+		st, err = p.follow(term, n, a)
+	}
+	return p.stateRow(st), err
+}
+
+func (p *Platform) follow(term uint64, n *query.Call, a exec.Arguments) (core.State, error) {
+	text, err := a.Text("primary", n.Arguments[1])
+	if err != nil {
+		return core.State{}, err
+	}
+	primary, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return core.State{}, core.Refuse(exec.CodeBadValue, "the primary's address: %s", err)
+	}
+	return p.Member.Follow(term, primary)
+}
+
+func (p *Platform) stateRow(st core.State) exec.Rows {
+	upstream := ""
+	if st.Grant.Upstream.IsValid() {
+		upstream = st.Grant.Upstream.String()
+	}
+	running, _ := p.Slots.Usage()
+	return exec.One(
+		codec.String(p.Member.Name),
+		codec.String(string(st.Grant.Role)),
+		codec.Uint(st.Grant.Term),
+		codec.Uint(st.Received.Term),
+		codec.Uint(st.Received.Offset),
+		codec.Uint(st.Applied.Term),
+		codec.Uint(st.Applied.Offset),
+		codec.String(upstream),
+		codec.Bool(p.Faults.Leaving()),
+		codec.Int(int64(p.Directory.Connections())),
+		codec.Int(int64(running)),
+	)
+}
--- a/egretlab/pgsim/server.go
+++ b/egretlab/pgsim/server.go
@@ -13,16 +13,21 @@
 	"egretlane.example/egret"
 	"egretlane.example/egret/egretlab/pgsim/core"
 	"egretlane.example/egret/egretlab/pgsim/locks"
+	"egretlane.example/egret/egretlab/pgsim/plat"
 	"egretlane.example/egret/egretlab/pgsim/repl"
 	"egretlane.example/egret/egretlab/pgsim/sess"
 	"egretlane.example/egret/egretlab/pgsim/slots"
 	"egretlane.example/egret/egretlab/pgsim/stats"
+	"egretlane.example/egret/egretlab/pgsim/vars"
 )
 
 const (
 	// startTimeout bounds the start-up of a connection.
 	startTimeout = 10 * time.Second
 
+	// maxMessageBytes bounds a message of a client.
+	maxMessageBytes = 64 << 20
+
 	// acceptPause follows a failed accept, as when the process has no more file descriptors.
 	acceptPause = 50 * time.Millisecond
 )
@@ -51,7 +56,7 @@
 	host sess.Host
 
 	// faults is what operators ask the member to do wrong.
-	faults sess.Faults
+	faults plat.Faults
 
 	// recorder records statements.
 	recorder stats.Recorder
@@ -73,13 +78,15 @@
 	}
 	s.directory.limit = s.Connections
 	s.host = sess.Host{
-		Member:    s.Member,
-		Slots:     slots.New(s.Slots),
-		Locks:     &s.locks,
-		Stats:     &s.recorder,
-		Faults:    &s.faults,
-		Directory: &s.directory,
-		Cost:      s.StatementCost,
+		Platform: plat.Platform{
+			Member:    s.Member,
+			Slots:     slots.New(s.Slots),
+			Locks:     &s.locks,
+			Faults:    &s.faults,
+			Directory: &s.directory,
+		},
+		Stats: &s.recorder,
+		Cost:  s.StatementCost,
 	}
 	return nil
 }
@@ -133,6 +140,7 @@
 		conn:    c,
 		backend: pgproto3.NewBackend(c, c),
 	}
+	h.backend.SetMaxBodyLen(maxMessageBytes)
 	_ = c.SetDeadline(time.Now().Add(startTimeout))
 	m, err := h.receive(ctx)
 	if err != nil {
@@ -175,7 +183,7 @@
 		Conn:     h.conn,
 		Backend:  h.backend,
 		Database: start.Parameters["database"],
-		Settings: sess.NewSettings(start.Parameters["user"], start.Parameters),
+		Settings: vars.New(start),
 	}
 	k, err := s.directory.add(session, end)
 	if err != nil {
@@ -187,6 +195,9 @@
 	if !pause(ctx, s.ConnectCost) {
 		return
 	}
+	if start.ProtocolVersion > pgproto3.ProtocolVersion30 {
+		h.negotiate()
+	}
 	if err := h.accept(session.Settings.Report(), k); err != nil {
 		return
 	}
--- a/egretlab/pgsim/sess/block.go
+++ b/egretlab/pgsim/sess/block.go
@@ -6,6 +6,7 @@
 	"egretlane.example/egret/egretlab/pgsim/core"
 	"egretlane.example/egret/egretlab/pgsim/query"
 	"egretlane.example/egret/egretlab/pgsim/stats"
+	"egretlane.example/egret/egretlab/pgsim/vars"
 	"egretlane.example/egret/egretlab/pgsim/walog"
 )
 
@@ -26,7 +27,7 @@
 	number uint64
 
 	// saved is the settings before the transaction.
-	saved Settings
+	saved vars.Settings
 
 	// local lists the settings that go back to saved at the end in any case.
 	local []string
@@ -51,13 +52,13 @@
 		return b.transaction
 	}
 	h := s.holder()
-	b.transaction = s.Host.Member.Begin(walog.Origin{
+	b.transaction = s.Host.Platform.Member.Begin(walog.Origin{
 		Process:     h.Process,
 		Application: h.Application,
 	})
-	b.transaction.ReadOnly = s.Settings.isOn(settingDefaultReadOnly)
+	b.transaction.ReadOnly = s.Settings.On(vars.DefaultReadOnly)
 	b.number++
-	b.saved = s.Settings.clone()
+	b.saved = s.Settings
 	b.local = nil
 	s.record(stats.KindBegin, "")
 	return b.transaction
@@ -114,7 +115,7 @@
 	next := s.Settings
 	for _, n := range b.local {
 		v, _ := b.saved.Get(n)
-		next = next.with(n, v, false)
+		next = next.With(n, v)
 	}
 	s.takeOn(next)
 	s.closeBlock(false)
@@ -149,7 +150,7 @@
 func (s *Session) record(k stats.Kind, text string) {
 	h := s.holder()
 	s.Host.Stats.Record(stats.Event{
-		Time:        s.Host.Member.Now(),
+		Time:        s.Host.Platform.Member.Now(),
 		Process:     h.Process,
 		Application: h.Application,
 		Kind:        k,
--- /dev/null
+++ b/egretlab/pgsim/sess/control.go
@@ -0,0 +1,139 @@
+package sess
+
+import (
+	"egretlane.example/egret"
+	"egretlane.example/egret/egretlab/pgsim/codec"
+	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/exec"
+	"egretlane.example/egret/egretlab/pgsim/query"
+	"egretlane.example/egret/egretlab/pgsim/stats"
+	"egretlane.example/egret/egretlab/pgsim/vars"
+)
+
+// control runs statements that touch the session only. It returns nil for others.
+func (s *Session) control(st query.Statement) (*exec.Result, error) {
+	switch n := st.Node.(type) {
+	case *query.Begin:
+		s.begin(n)
+	case *query.SetAccess:
+		s.setAccess(n)
+	case *query.Set:
+		s.set(n)
+	case *query.Show:
+		return s.show(n)
+	case *query.Deallocate:
+		if err := s.deallocate(n); err != nil {
+			return nil, err
+		}
+	case *query.Discard:
+		if err := s.discard(); err != nil {
+			return nil, err
+		}
+	default:
+		return nil, nil
+	}
+	if s.block.transaction != nil {
+		s.record(stats.KindStatement, st.Text)
+	}
+	return exec.None(st.Node.Command()), nil
+}
+
+func (s *Session) setAccess(n *query.SetAccess) {
+	if !n.Session {
+		if !s.block.explicit {
+			s.warn(codeNoTransaction, "SET TRANSACTION can only be used in transaction blocks")
+			return
+		}
+		setAccess(s.block.transaction, n.Access)
+		return
+	}
+	value := "off"
+	if n.Access == query.AccessReadOnly {
+		value = "on"
+	}
+	s.takeOn(s.Settings.With(vars.DefaultReadOnly, value))
+}
+
+// set changes a setting. A rollback undoes it.
+func (s *Session) set(n *query.Set) {
+	if n.Name == vars.ReadOnly {
+		if s.block.transaction != nil {
+			s.block.transaction.ReadOnly = n.Value == "on" || n.Value == "true"
+		}
+		return
+	}
+	if n.Local && s.block.transaction == nil {
+		s.warn(codeNoTransaction, "SET LOCAL can only be used in transaction blocks")
+		return
+	}
+	if n.Local {
+		s.block.local = append(s.block.local, n.Name)
+	}
+	switch {
+	case n.Name == "":
+		s.takeOn(s.Settings.ResetAll())
+	case n.Default:
+		s.takeOn(s.Settings.Reset(n.Name))
+	default:
+		s.takeOn(s.Settings.With(n.Name, n.Value))
+	}
+}
+
+func (s *Session) show(n *query.Show) (*exec.Result, error) {
+	v, found := s.Settings.Get(n.Name)
+	role := s.Host.Platform.Member.State().Grant.Role
+	switch n.Name {
+	case vars.ReadOnly:
+		found = true
+		v = "off"
+		t := s.block.transaction
+		if role != egret.RolePrimary || t != nil && t.ReadOnly || t == nil && s.Settings.On(vars.DefaultReadOnly) {
+			v = "on"
+		}
+	case vars.Recovery:
+		v = "off"
+		if role != egret.RolePrimary {
+			v = "on"
+		}
+	}
+	if !found {
+		return nil, core.Refuse(codeNoSetting, "unrecognized configuration parameter %q", n.Name)
+	}
+	return &exec.Result{
+		Command: n.Command(),
+		Columns: exec.Columns(n),
+		Rows:    exec.One(codec.String(v)),
+	}, nil
+}
+
+func (s *Session) deallocate(n *query.Deallocate) error {
+	if n.Name == "" {
+		clear(s.statements)
+		return nil
+	}
+	if _, found := s.statements[n.Name]; !found {
+		return core.Refuse(codeNoStatement, "prepared statement %q does not exist", n.Name)
+	}
+	delete(s.statements, n.Name)
+	return nil
+}
+
+// discard puts the session back to its start.
+func (s *Session) discard() error {
+	if s.block.transaction != nil {
+		return core.Refuse(codeActive, "DISCARD ALL cannot run inside a transaction block")
+	}
+	clear(s.statements)
+	clear(s.portals)
+	s.Host.Platform.Locks.Release(s.Process)
+	s.takeOn(s.Settings.ResetAll())
+	return nil
+}
+
+// takeOn changes the session's settings and tells the client of those that are reported.
+func (s *Session) takeOn(next vars.Settings) {
+	for _, p := range s.Settings.Changes(next) {
+		s.Backend.Send(p)
+	}
+	s.Settings = next
+}
--- a/egretlab/pgsim/sess/extended.go
+++ b/egretlab/pgsim/sess/extended.go
@@ -6,6 +6,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"egretlane.example/egret/egretlab/pgsim/codec"
+	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/exec"
 	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
@@ -23,19 +25,19 @@
 	// statement is what the portal runs.
 	statement *statement
 
-	// parameters has a value for each type of the statement.
-	parameters []codec.Value
+	// arguments has a value for each type of the statement.
+	arguments exec.Arguments
 
 	// formats are the formats of the result's columns.
 	formats []int16
 
 	// result is the rest of the rows, once the portal has run.
-	result *result
+	result *exec.Result
 }
 
 func (s *Session) parse(m *pgproto3.Parse) error {
 	if _, found := s.statements[m.Name]; found && m.Name != "" {
-		return fault(codeStatementExists, "prepared statement %q already exists", m.Name)
+		return core.Refuse(codeStatementExists, "prepared statement %q already exists", m.Name)
 	}
 	parsed, err := query.Parse(m.Query)
 	if err != nil {
@@ -80,13 +82,13 @@
 func (s *Session) bind(m *pgproto3.Bind) error {
 	st, found := s.statements[m.PreparedStatement]
 	if !found {
-		return fault(codeNoStatement, "prepared statement %q does not exist", m.PreparedStatement)
+		return core.Refuse(codeNoStatement, "prepared statement %q does not exist", m.PreparedStatement)
 	}
 	if _, found := s.portals[m.DestinationPortal]; found && m.DestinationPortal != "" {
-		return fault(codeCursorExists, "portal %q already exists", m.DestinationPortal)
+		return core.Refuse(codeCursorExists, "portal %q already exists", m.DestinationPortal)
 	}
 	if len(m.Parameters) != len(st.types) {
-		return fault(codeProtocol, "bind message supplies %d parameters, but the statement requires %d",
+		return core.Refuse(codeProtocol, "bind message supplies %d parameters, but the statement requires %d",
 			len(m.Parameters), len(st.types))
 	}
 	p := &portal{
@@ -96,18 +98,18 @@
 	for i, data := range m.Parameters {
 		f, err := codec.Format(m.ParameterFormatCodes, i)
 		if err != nil {
-			return fault(codeProtocol, "%s", err)
+			return core.Refuse(codeProtocol, "%s", err)
 		}
 		v, err := codec.Decode(st.types[i], f, data)
 		if err != nil {
-			return fault(codeBadText, "parameter $%d: %s", i+1, err)
+			return core.Refuse(exec.CodeBadText, "parameter $%d: %s", i+1, err)
 		}
-		p.parameters = append(p.parameters, v)
+		p.arguments.Parameters = append(p.arguments.Parameters, v)
 	}
 	if st.parsed != nil {
-		for i := range columnsOf(st.parsed.Node) {
+		for i := range exec.Columns(st.parsed.Node) {
 			if _, err := codec.Format(p.formats, i); err != nil {
-				return fault(codeProtocol, "%s", err)
+				return core.Refuse(codeProtocol, "%s", err)
 			}
 		}
 	}
@@ -120,14 +122,14 @@
 	if m.ObjectType == 'P' {
 		p, found := s.portals[m.Name]
 		if !found {
-			return fault(codeNoPortal, "portal %q does not exist", m.Name)
+			return core.Refuse(codeNoPortal, "portal %q does not exist", m.Name)
 		}
 		s.sendColumns(p.statement, p.formats)
 		return nil
 	}
 	st, found := s.statements[m.Name]
 	if !found {
-		return fault(codeNoStatement, "prepared statement %q does not exist", m.Name)
+		return core.Refuse(codeNoStatement, "prepared statement %q does not exist", m.Name)
 	}
 	d := &pgproto3.ParameterDescription{}
 	for _, t := range st.types {
@@ -140,7 +142,7 @@
 
 func (s *Session) sendColumns(st *statement, formats []int16) {
 	if st.parsed != nil {
-		if columns := columnsOf(st.parsed.Node); len(columns) > 0 {
+		if columns := exec.Columns(st.parsed.Node); len(columns) > 0 {
 			s.Backend.Send(describeRows(columns, formats))
 			return
 		}
@@ -152,14 +154,14 @@
 func (s *Session) execute(ctx context.Context, m *pgproto3.Execute) error {
 	p, found := s.portals[m.Portal]
 	if !found {
-		return fault(codeNoPortal, "portal %q does not exist", m.Portal)
+		return core.Refuse(codeNoPortal, "portal %q does not exist", m.Portal)
 	}
 	if p.statement.parsed == nil {
 		s.Backend.Send(&pgproto3.EmptyQueryResponse{})
 		return nil
 	}
 	if p.result == nil {
-		r, err := s.run(ctx, *p.statement.parsed, p.parameters)
+		r, err := s.run(ctx, *p.statement.parsed, p.arguments)
 		if err != nil {
 			return err
 		}
--- a/egretlab/pgsim/sess/failure.go
+++ b/egretlab/pgsim/sess/failure.go
@@ -1,8 +1,6 @@
 package sess
 
 import (
-	"fmt"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/juju/errors"
 
@@ -14,14 +12,11 @@
 const (
 	codeProtocol        = "08P01"
 	codeUnsupported     = "0A000"
-	codeBadValue        = "22023"
-	codeBadText         = "22P02"
 	codeActive          = "25001"
 	codeNoTransaction   = "25P01"
 	codeFailed          = "25P02"
 	codeNoStatement     = "26000"
 	codeNoPortal        = "34000"
-	codeNoParameter     = "42P02"
 	codeCursorExists    = "42P03"
 	codeStatementExists = "42P05"
 	codeNoSetting       = "42704"
@@ -54,14 +49,6 @@
 	}
 )
 
-// fault returns an error with an SQLSTATE.
-func fault(code string, format string, arguments ...any) error {
-	return &core.Error{
-		Code:    code,
-		Message: fmt.Sprintf(format, arguments...),
-	}
-}
-
 // Response returns the message that tells the client of an error.
 func Response(severity string, reason error) *pgproto3.ErrorResponse {
 	r := &pgproto3.ErrorResponse{
--- a/egretlab/pgsim/sess/host.go
+++ b/egretlab/pgsim/sess/host.go
@@ -1,101 +1,20 @@
 package sess
 
 import (
-	"sync"
 	"time"
 
-	"egretlane.example/egret/egretlab/pgsim/core"
-	"egretlane.example/egret/egretlab/pgsim/locks"
-	"egretlane.example/egret/egretlab/pgsim/slots"
+	"egretlane.example/egret/egretlab/pgsim/plat"
 	"egretlane.example/egret/egretlab/pgsim/stats"
 )
 
 // Host is what the sessions of a member share.
 type Host struct {
-	// Member is the member's state.
-	Member *core.Member
-
-	// Slots bounds how many statements run.
-	Slots *slots.Pool
-
-	// Locks holds the advisory locks.
-	Locks *locks.Table
+	// Platform answers the platform's functions, and has the member.
+	Platform plat.Platform
 
 	// Stats records statements.
 	Stats *stats.Recorder
 
-	// Faults is what operators ask the member to do wrong.
-	Faults *Faults
-
-	// Directory knows the connections.
-	Directory Directory
-
 	// Cost is how long each statement takes while it holds its slot.
 	Cost time.Duration
 }
-
-// Directory knows the connections of a member.
-type Directory interface {
-	// Connections returns how many connections count against the limit.
-	Connections() int
-
-	// Terminate ends a connection. It returns false if there is none with the number.
-	Terminate(process uint32) bool
-}
-
-// Faults are switches that a test sets while the member runs. The zero Faults is all off.
-type Faults struct {
-	// mu guards the fields below.
-	mu sync.Mutex
-
-	// leaving is what the member says of itself.
-	leaving bool
-
-	// refuse makes the member refuse statements before they run.
-	refuse bool
-
-	// delay holds answers back.
-	delay time.Duration
-}
-
-// Leaving returns whether the member says that it leaves.
-func (f *Faults) Leaving() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.leaving
-}
-
-// SetLeaving sets whether the member says that it leaves.
-func (f *Faults) SetLeaving(leaving bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leaving = leaving
-}
-
-// Refuse returns whether statements are refused.
-func (f *Faults) Refuse() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.refuse
-}
-
-// SetRefuse sets whether statements are refused.
-func (f *Faults) SetRefuse(refuse bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.refuse = refuse
-}
-
-// Delay returns how long answers are held back.
-func (f *Faults) Delay() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.delay
-}
-
-// SetDelay sets how long answers are held back.
-func (f *Faults) SetDelay(delay time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.delay = delay
-}
--- a/egretlab/pgsim/sess/session.go
+++ b/egretlab/pgsim/sess/session.go
@@ -9,7 +9,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/juju/errors"
 
+	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/exec"
 	"egretlane.example/egret/egretlab/pgsim/locks"
+	"egretlane.example/egret/egretlab/pgsim/vars"
 )
 
 const (
@@ -45,7 +48,7 @@
 	Database string
 
 	// Settings is the session's settings.
-	Settings Settings
+	Settings vars.Settings
 
 	// block is the transaction.
 	block block
@@ -76,7 +79,7 @@
 	defer end(nil)
 	s.statements = make(map[string]*statement)
 	s.portals = make(map[string]*portal)
-	defer s.Host.Locks.Release(s.Process)
+	defer s.Host.Platform.Locks.Release(s.Process)
 	defer s.rollBack()
 	messages := make(chan pgproto3.FrontendMessage, maxWaiting)
 	go s.read(ctx, end, messages)
@@ -205,7 +208,7 @@
 func (s *Session) start(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	release := func() {}
-	if t := s.Settings.timeout(); t > 0 {
+	if t := s.Settings.Timeout(); t > 0 {
 		ctx, release = withTimeout(ctx, t)
 	}
 	s.mu.Lock()
@@ -248,7 +251,7 @@
 		// They may follow a COPY that was refused.
 		return nil
 	default:
-		return fault(codeUnsupported, "message %T is not supported by this member", m)
+		return core.Refuse(codeUnsupported, "message %T is not supported by this member", m)
 	}
 }
 
@@ -272,7 +275,7 @@
 func (s *Session) flush(ctx context.Context) error {
 	if s.delayed {
 		s.delayed = false
-		if err := sleep(ctx, s.Host.Faults.Delay()); err != nil {
+		if err := exec.Sleep(ctx, s.Host.Platform.Faults.Delay()); err != nil {
 			return err
 		}
 	}
@@ -286,24 +289,9 @@
 }
 
 func (s *Session) holder() locks.Holder {
-	application, _ := s.Settings.Get(settingApplication)
+	application, _ := s.Settings.Get(vars.Application)
 	return locks.Holder{
 		Process:     s.Process,
 		Application: application,
 	}
 }
-
-// sleep waits, or returns the context's cause.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-t.C:
-		return nil
-	}
-}
--- a/egretlab/pgsim/sess/simple.go
+++ b/egretlab/pgsim/sess/simple.go
@@ -6,6 +6,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"egretlane.example/egret/egretlab/pgsim/codec"
+	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/exec"
 	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
@@ -33,12 +35,12 @@
 // simpleStatement runs one statement. The last one is complete only when its implicit transaction
 // is committed.
 func (s *Session) simpleStatement(ctx context.Context, st query.Statement, last bool) error {
-	r, err := s.run(ctx, st, nil)
+	r, err := s.run(ctx, st, exec.Arguments{})
 	if err != nil {
 		return err
 	}
-	if len(r.columns) > 0 {
-		s.Backend.Send(describeRows(r.columns, nil))
+	if len(r.Columns) > 0 {
+		s.Backend.Send(describeRows(r.Columns, nil))
 	}
 	count, _, err := s.sendRows(ctx, r, nil, 0)
 	if err != nil {
@@ -55,15 +57,15 @@
 
 // sendRows sends up to limit rows, or all if limit is zero. It returns how many, and whether the
 // result is at its end.
-func (s *Session) sendRows(ctx context.Context, r *result, formats []int16, limit int) (int, bool, error) {
+func (s *Session) sendRows(ctx context.Context, r *exec.Result, formats []int16, limit int) (int, bool, error) {
 	count := 0
 	size := 0
 	for limit == 0 || count < limit {
-		row, more := r.rows.next()
+		row, more := r.Rows.Next()
 		if !more {
 			return count, true, nil
 		}
-		data, err := encodeRow(r.columns, formats, row)
+		data, err := encodeRow(r.Columns, formats, row)
 		if err != nil {
 			return count, false, err
 		}
@@ -83,9 +85,9 @@
 	return count, false, nil
 }
 
-func (s *Session) complete(r *result, count int) {
+func (s *Session) complete(r *exec.Result, count int) {
 	s.Backend.Send(&pgproto3.CommandComplete{
-		CommandTag: []byte(r.tag(count)),
+		CommandTag: []byte(r.Tag(count)),
 	})
 }
 
@@ -94,11 +96,11 @@
 	for i, v := range row {
 		f, err := codec.Format(formats, i)
 		if err != nil {
-			return nil, fault(codeProtocol, "%s", err)
+			return nil, core.Refuse(codeProtocol, "%s", err)
 		}
 		cell, err := codec.Encode(columns[i].Type, f, v)
 		if err != nil {
-			return nil, fault(codeInternal, "column %s: %s", columns[i].Name, err)
+			return nil, core.Refuse(codeInternal, "column %s: %s", columns[i].Name, err)
 		}
 		data.Values = append(data.Values, cell)
 	}
--- a/egretlab/pgsim/sess/settings.go
+++ b/egretlab/pgsim/vars/vars.go
@@ -1,4 +1,9 @@
-package sess
+// Package vars holds the settings of a session.
+//
+// Changes make a new value, so that a session can go back to the one before a transaction:
+//
+//	next := settings.With("application_name", "desk")
+package vars
 
 import (
 	"maps"
@@ -10,20 +15,20 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// Names of settings that the session acts on.
+// Names of settings that sessions act on.
 const (
-	settingApplication     = "application_name"
-	settingDefaultReadOnly = "default_transaction_read_only"
-	settingReadOnly        = "transaction_read_only"
-	settingTimeout         = "statement_timeout"
-	settingRecovery        = "in_hot_standby"
+	Application      = "application_name"
+	DefaultReadOnly  = "default_transaction_read_only"
+	ReadOnly         = "transaction_read_only"
+	StatementTimeout = "statement_timeout"
+	Recovery         = "in_hot_standby"
 )
 
 // reportedSettings are the settings that the protocol tells clients of, in their usual spelling.
 func reportedSettings() []string {
 	return []string{
 		"application_name", "client_encoding", "DateStyle", "default_transaction_read_only",
-		"in_hot_standby", "integer_datetimes", "IntervalStyle", "is_superuser", "server_encoding",
+		"integer_datetimes", "IntervalStyle", "is_superuser", "server_encoding",
 		"server_version", "session_authorization", "standard_conforming_strings", "TimeZone",
 	}
 }
@@ -37,16 +42,14 @@
 	initial map[string]string
 }
 
-// NewSettings returns the settings of a session that has just started, with those that the client
-// asked for at its start.
-func NewSettings(user string, asked map[string]string) Settings {
+// New returns the settings of a session at its start, with those that the client asked for.
+func New(m *pgproto3.StartupMessage) Settings {
 	values := map[string]string{
 		"application_name":              "",
 		"client_encoding":               "UTF8",
 		"datestyle":                     "ISO, MDY",
 		"default_transaction_read_only": "off",
 		"extra_float_digits":            "1",
-		"in_hot_standby":                "off",
 		"integer_datetimes":             "on",
 		"intervalstyle":                 "postgres",
 		"is_superuser":                  "off",
@@ -55,18 +58,18 @@
 		"server_encoding":               "UTF8",
 		"server_version":                "15.0",
 		"server_version_num":            "150000",
-		"session_authorization":         user,
+		"session_authorization":         m.Parameters["user"],
 		"standard_conforming_strings":   "on",
 		"statement_timeout":             "0",
 		"timezone":                      "UTC",
 		"transaction_isolation":         "read committed",
 	}
-	for n, v := range asked {
+	for n, v := range m.Parameters {
 		if n != "user" && n != "database" && n != "replication" && n != "options" {
 			values[strings.ToLower(n)] = v
 		}
 	}
-	addOptions(values, asked["options"])
+	addOptions(values, m.Parameters["options"])
 	return Settings{
 		values:  values,
 		initial: maps.Clone(values),
@@ -101,15 +104,15 @@
 	return all
 }
 
-// isOn reports whether a setting is on.
-func (s *Settings) isOn(name string) bool {
+// On reports whether a setting is on.
+func (s *Settings) On(name string) bool {
 	v, _ := s.Get(name)
 	return slices.Contains([]string{"on", "true", "yes", "1"}, strings.ToLower(v))
 }
 
-// timeout returns statement_timeout, or zero if there is none.
-func (s *Settings) timeout() time.Duration {
-	v, _ := s.Get(settingTimeout)
+// Timeout returns statement_timeout, or zero if there is none.
+func (s *Settings) Timeout() time.Duration {
+	v, _ := s.Get(StatementTimeout)
 	if n, err := strconv.Atoi(v); err == nil {
 		return time.Duration(n) * time.Millisecond
 	}
@@ -120,42 +123,46 @@
 	return d
 }
 
-// with returns a copy with one setting changed. An empty name puts all back.
-func (s *Settings) with(name string, value string, initial bool) Settings {
+// With returns a copy with one setting changed.
+func (s *Settings) With(name string, value string) Settings {
 	c := s.clone()
-	switch {
-	case name == "":
-		c.values = maps.Clone(s.initial)
-	case !initial:
-		c.values[name] = value
-	default:
-		v, found := s.initial[name]
-		c.values[name] = v
-		if !found {
-			delete(c.values, name)
-		}
+	c.values[name] = value
+	return c
+}
+
+// Reset returns a copy with one setting put back to what it was at the start.
+func (s *Settings) Reset(name string) Settings {
+	c := s.clone()
+	v, found := s.initial[name]
+	c.values[name] = v
+	if !found {
+		delete(c.values, name)
 	}
 	return c
 }
 
-func (s *Settings) clone() Settings {
+// ResetAll returns the settings as they were at the start.
+func (s *Settings) ResetAll() Settings {
 	return Settings{
-		values:  maps.Clone(s.values),
+		values:  maps.Clone(s.initial),
 		initial: s.initial,
 	}
 }
 
-// takeOn changes the session's settings and tells the client of those that are reported.
-func (s *Session) takeOn(next Settings) {
-	for _, n := range reportedSettings() {
-		before, _ := s.Settings.Get(n)
-		after, _ := next.Get(n)
-		if before != after {
-			s.Backend.Send(&pgproto3.ParameterStatus{
-				Name:  n,
-				Value: after,
-			})
+// Changes returns the messages that tell a client of the reported settings that differ in next.
+func (s *Settings) Changes(next Settings) []*pgproto3.ParameterStatus {
+	var all []*pgproto3.ParameterStatus
+	for _, p := range next.Report() {
+		if before, _ := s.Get(p.Name); before != p.Value {
+			all = append(all, p)
 		}
 	}
-	s.Settings = next
+	return all
+}
+
+func (s *Settings) clone() Settings {
+	return Settings{
+		values:  maps.Clone(s.values),
+		initial: s.initial,
+	}
 }
