--- /dev/null
+++ b/egretlab/kvsim/server_test.go
@@ -0,0 +1,195 @@
+package kvsim
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+)
+
+// A lease that isn't renewed removes its key, and its holder is told.
+func TestLeaseLapses(t *testing.T) {
+	c := dial(t, start(t, &Server{}))
+	id, err := c.Grant(t.Context(), 100*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.CompareAndSwap(t.Context(), "k", 0, []byte("v"), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		v, err := c.Get(t.Context(), "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if v.Revision == 0 {
+			break
+		}
+	}
+	if err := c.Renew(t.Context(), id); !errors.Is(err, egret.ErrLeaseLapsed) {
+		t.Errorf("Renew = %v, want a lapsed lease", err)
+	}
+	_, err = c.CompareAndSwap(t.Context(), "k", 0, []byte("w"), id)
+	if !errors.Is(err, egret.ErrLeaseLapsed) {
+		t.Errorf("CompareAndSwap = %v, want a lapsed lease", err)
+	}
+}
+
+func TestWatchEndsWithAChangeAndWithAnOutage(t *testing.T) {
+	s := &Server{}
+	c := dial(t, start(t, s))
+	type seen struct {
+		value egret.Value
+		err   error
+	}
+	watch := func(after uint64) <-chan seen {
+		answers := make(chan seen, 1)
+		go func() {
+			v, err := c.Watch(t.Context(), "k", after)
+			answers <- seen{
+				value: v,
+				err:   err,
+			}
+		}()
+		for s.Stats().WaitingWatches == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		return answers
+	}
+	waiting := watch(0)
+	if _, err := c.CompareAndSwap(t.Context(), "k", 0, []byte("v"), 0); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-waiting; got.err != nil || got.value.Revision != 1 {
+		t.Errorf("Watch = %+v, want revision 1", got)
+	}
+	waiting = watch(1)
+	if err := s.Break(ModeDown, 0); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-waiting; got.err == nil {
+		t.Errorf("Watch = %+v with the store down, want an error", got)
+	}
+}
+
+// A slow store changes the value after its caller has given up.
+func TestSlowChangeTakesEffectLater(t *testing.T) {
+	s := &Server{}
+	c := dial(t, start(t, s))
+	if err := s.Break(ModeSlow, 100*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	bound, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := c.CompareAndSwap(bound, "k", 0, []byte("v"), 0); err == nil {
+		t.Fatal("the change was answered within its timeout")
+	}
+	v, err := c.Watch(t.Context(), "k", 0)
+	if err != nil || v.Revision != 1 {
+		t.Errorf("Watch = %+v, %v, want revision 1", v, err)
+	}
+}
+
+func TestRateLimitRefuses(t *testing.T) {
+	s := &Server{
+		ReadsPerSecond: 10,
+	}
+	c := dial(t, start(t, s))
+	refused := 0
+	for range 20 {
+		if _, err := c.Get(t.Context(), "k"); err != nil {
+			refused++
+		}
+	}
+	if refused == 0 || s.Stats().Limited != uint64(refused) {
+		t.Errorf("%d of 20 reads refused, %d counted", refused, s.Stats().Limited)
+	}
+}
+
+// A connection that has gone silent for good costs one call: the next one goes over a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	s := &Server{}
+	l := &link{
+		to: start(t, s),
+	}
+	c := dial(t, l.start(t))
+	if _, err := c.Get(t.Context(), "k"); err != nil {
+		t.Fatal(err)
+	}
+	l.silence()
+	if _, err := c.Get(t.Context(), "k"); err == nil {
+		t.Fatal("a silent connection gave an answer")
+	}
+	if _, err := c.Get(t.Context(), "k"); err != nil {
+		t.Errorf("Get after the silence = %v", err)
+	}
+}
+
+// link forwards connections.
+type link struct {
+	to netip.AddrPort
+
+	// silent is how many of the first connections forward nothing any more.
+	silent atomic.Int64
+
+	// accepted counts the connections.
+	accepted atomic.Int64
+}
+
+func (l *link) start(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(t, c, l.accepted.Add(1))
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// silence makes the connections so far go silent.
+func (l *link) silence() {
+	l.silent.Store(l.accepted.Load())
+}
+
+func (l *link) forward(t *testing.T, c net.Conn, number int64) {
+	d, err := net.Dial("tcp", l.to.String())
+	if err != nil {
+		t.Errorf("Dial = %v", err)
+		return
+	}
+	pump := func(to io.Writer, from io.Reader) {
+		b := make([]byte, 4096)
+		for {
+			n, err := from.Read(b)
+			if err != nil {
+				return
+			}
+			if l.silent.Load() < number {
+				_, _ = to.Write(b[:n])
+			}
+		}
+	}
+	go pump(c, d)
+	pump(d, c)
+	_ = c.Close()
+	_ = d.Close()
+}
