--- a/egretlab/main.go
+++ b/egretlab/main.go
@@ -33,6 +33,7 @@
 			storeCommand(),
 			vmsCommand(),
 			memberCommand(),
+			demoCommand(),
 		},
 	}
 }
--- a/egretlane/main.go
+++ b/egretlane/main.go
@@ -1,5 +1,45 @@
-// Command egretlane is part of egretlane.
+// Command egretlane is the proxy. One process runs on each entry VM, and all are alike.
 package main
 
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
 func main() {
+	s := &Settings{}
+	c := &cli.Command{
+		Name:                  "egretlane",
+		Usage:                 "database proxy with session consistency",
+		Flags:                 s.flags(),
+		EnableShellCompletion: true,
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			return serve(ctx, s)
+		},
+	}
+	if err := c.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "egretlane:", err)
+		os.Exit(1)
+	}
+}
+
+// serve runs the proxy until it is told to stop. A second signal ends it at once.
+func serve(ctx context.Context, s *Settings) error {
+	c, err := s.config()
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(c)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return p.run(ctx)
 }
--- /dev/null
+++ b/egretlane/providers.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"context"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/wire"
+	"github.com/juju/errors"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"google.golang.org/grpc"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/caller"
+	"egretlane.example/egret/entry"
+	"egretlane.example/egret/internal/lanepb"
+	"egretlane.example/egret/lane"
+	"egretlane.example/egret/member"
+	"egretlane.example/egret/oper"
+	"egretlane.example/egret/peer"
+	"egretlane.example/egret/relay"
+	"egretlane.example/egret/retry"
+	"egretlane.example/egret/store"
+	"egretlane.example/egret/table"
+	"egretlane.example/egret/token"
+	"egretlane.example/egret/vmlist"
+)
+
+// Bounds of tries again.
+const (
+	retryBase  = 10 * time.Millisecond
+	retryCap   = 250 * time.Millisecond
+	retryBurst = 50
+)
+
+// providers make the parts of a proxy.
+var providers = wire.NewSet(
+	newLogger,
+	newRegistry,
+	newLeaving,
+	newSealer,
+	newStore,
+	newKeeper,
+	newMesh,
+	newDialer,
+	newControl,
+	newHolder,
+	newLanes,
+	newDesk,
+	newCallers,
+	newPeerServer,
+	newOper,
+	assemble,
+)
+
+func newLogger(c *Config) *log.Logger {
+	return &log.Logger{
+		Level: c.LogLevel,
+		Writer: &log.IOWriter{
+			Writer: os.Stderr,
+		},
+	}
+}
+
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+func newLeaving() *atomic.Bool {
+	return &atomic.Bool{}
+}
+
+func newSealer(c *Config) (*token.Sealer, error) {
+	keys, err := token.ReadKeys(c.TokenKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	return &token.Sealer{
+		Keys: keys,
+	}, nil
+}
+
+func newStore(c *Config) *store.Client {
+	return &store.Client{
+		Address: c.Addresses.Resolve(c.Store),
+	}
+}
+
+func newKeeper(c *Config, s *store.Client, l *log.Logger, r *prometheus.Registry) *table.Keeper {
+	k := &table.Keeper{
+		Store:  s,
+		Key:    c.TablesKey,
+		Logger: l,
+	}
+	r.MustRegister(k)
+	return k
+}
+
+func newMesh(c *Config, k *table.Keeper, l *log.Logger, r *prometheus.Registry) (*peer.Mesh, error) {
+	credentials, err := c.PeerTLS.peerTLS()
+	if err != nil {
+		return nil, err
+	}
+	m := &peer.Mesh{
+		Node:          c.Self,
+		Seeds:         c.SeedPeers,
+		Map:           c.Addresses,
+		Credentials:   credentials,
+		CurrentTables: k.Now,
+		TablesBytes: func() (uint64, []byte) {
+			return encodeTables(k.Now())
+		},
+		OfferTables: func(revision uint64, data []byte) error {
+			return offerTables(k, revision, data)
+		},
+		Registry: r,
+		Log:      l,
+	}
+	if c.VMList != "" {
+		m.VMs = &vmlist.Client{
+			URL: c.VMList,
+		}
+	}
+	return m, nil
+}
+
+// encodeTables returns the tables as they go to peers. Before the first tables it returns none.
+func encodeTables(t *egret.Tables) (uint64, []byte) {
+	if t == nil {
+		return 0, nil
+	}
+	data, err := table.Encode(t)
+	if err != nil {
+		return 0, nil
+	}
+	return t.Revision, data
+}
+
+func offerTables(k *table.Keeper, revision uint64, data []byte) error {
+	t, err := table.Decode(revision, data)
+	if err != nil {
+		return errors.Annotate(err, "tables from a peer")
+	}
+	k.Offer(t)
+	return nil
+}
+
+func newDialer(c *Config) (*member.Dialer, error) {
+	config, err := c.MemberTLS.memberTLS()
+	if err != nil {
+		return nil, err
+	}
+	password, err := readPassword(c.MemberPasswordFile)
+	if err != nil {
+		return nil, err
+	}
+	return &member.Dialer{
+		NodeID:    c.Self.ID,
+		User:      c.MemberUser,
+		Password:  password,
+		Database:  c.MemberDatabase,
+		TLS:       config,
+		Addresses: &c.Addresses,
+	}, nil
+}
+
+func newControl(d *member.Dialer) *member.Control {
+	return &member.Control{
+		Dialer: d,
+	}
+}
+
+func newHolder(m *peer.Mesh, c *member.Control, d *member.Dialer, r *prometheus.Registry, l *log.Logger) *lane.Holder {
+	return &lane.Holder{
+		Peers:   m,
+		Control: c,
+		Dialer:  d,
+		Metrics: lane.NewMetrics(r),
+		Log:     l,
+	}
+}
+
+func newLanes(m *peer.Mesh, h *lane.Holder, r *prometheus.Registry) *relay.Lanes {
+	return &relay.Lanes{
+		Peers:     m,
+		Local:     h,
+		Positions: h,
+		Conn:      m.Conn,
+		Metrics:   relay.NewMetrics(r),
+	}
+}
+
+func newDesk(c *Config, m *peer.Mesh, l *relay.Lanes, s *token.Sealer, r *prometheus.Registry) *entry.Desk {
+	return &entry.Desk{
+		Peers:     m,
+		Lanes:     l,
+		Positions: l,
+		Sealer:    s,
+		Backoff: retry.Backoff{
+			Base: retryBase,
+			Cap:  retryCap,
+		},
+		Ratio: &retry.Ratio{
+			Part:  c.RetryPart,
+			Burst: retryBurst,
+		},
+		ReplicaWait:     c.ReplicaWait,
+		TransactionIdle: c.TransactionIdle,
+		CancelAt: func(ctx context.Context, k caller.CancelKey) {
+			m.CancelAt(ctx, k.Process, k.Secret[:])
+		},
+		Metrics: entry.NewMetrics(r),
+	}
+}
+
+func newCallers(c *Config, d *entry.Desk, r *prometheus.Registry) (*caller.Server, error) {
+	config, err := c.CallerTLS.callerTLS()
+	if err != nil {
+		return nil, err
+	}
+	s := &caller.Server{
+		Listen:         c.Callers,
+		TLS:            config,
+		RequireTLS:     c.RequireCallerTLS,
+		StatementLimit: c.StatementLimit,
+		SessionLimit:   c.SessionLimit,
+		Handler:        d,
+		Metrics:        caller.NewMetrics(r),
+	}
+	if c.CallerCredentials != "" {
+		s.Credentials, err = caller.ReadCredentials(c.CallerCredentials)
+	}
+	return s, err
+}
+
+func newPeerServer(m *peer.Mesh, h *lane.Holder) *grpc.Server {
+	options := m.ServerOptions()
+	if m.Credentials != nil {
+		options = append(options, grpc.Creds(m.Credentials))
+	}
+	s := grpc.NewServer(options...)
+	m.Register(s)
+	lanepb.RegisterLaneServer(s, &relay.Server{
+		Lanes:     h,
+		Positions: h,
+	})
+	return s
+}
+
+func newOper(c *Config, m *peer.Mesh, k *table.Keeper, r *prometheus.Registry, leaving *atomic.Bool) *oper.Server {
+	return &oper.Server{
+		Listen: c.Operators,
+		Ready: func() bool {
+			return !leaving.Load() && m.Ready() && k.Now() != nil
+		},
+		Gatherer: r,
+		Status:   m.State,
+		Profile:  c.Profile,
+	}
+}
--- /dev/null
+++ b/peer/state.go
@@ -0,0 +1,16 @@
+package peer
+
+import (
+	"context"
+
+	"egretlane.example/egret/internal/peerpb"
+)
+
+// State returns what this proxy tells operators about itself.
+func (m *Mesh) State() *peerpb.StatusReply {
+	// The call does no I/O and never fails.
+	r, _ := (&server{
+		mesh: m,
+	}).Status(context.Background(), &peerpb.StatusRequest{})
+	return r
+}
