form: decode the stored value without the YAML nodes

Each proxy decodes each revision, and the stored value needs no line numbers. Ruled out: the node reader for both, which is less code by one function. A value without routes or pools is refused now, rather than taken as empty tables.

--- a/table/form/finding.go
+++ b/table/form/finding.go
@@ -102,6 +102,15 @@
 	})
 }
 
+// without returns the findings but those at or below the path of a fault, since they follow from it.
+func (f Findings) without(faults Findings) Findings {
+	return slices.DeleteFunc(slices.Clone(f), func(g Finding) bool {
+		return slices.ContainsFunc(faults, func(h Finding) bool {
+			return h.above(g.Path)
+		})
+	})
+}
+
 // String returns a line for each finding.
 func (f Findings) String() string {
 	lines := make([]string, 0, len(f))
--- a/table/form/parse.go
+++ b/table/form/parse.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,21 +37,10 @@
 		file:   file,
 		places: make(map[string]Place),
 	}
-	return r.parse(data, false)
+	return r.parse(data)
 }
 
-// ParseStored reads and checks tables as they are stored, with their edits. Unknown keys are warnings,
-// so that a proxy takes the tables of a later version of egretlane.
-func ParseStored(data []byte) (*egret.Tables, Findings) {
-	r := &reader{
-		file:    "stored",
-		lenient: true,
-		places:  make(map[string]Place),
-	}
-	return r.parse(data, true)
-}
-
-func (r *reader) parse(data []byte, stored bool) (*egret.Tables, Findings) {
+func (r *reader) parse(data []byte) (*egret.Tables, Findings) {
 	t := &egret.Tables{}
 	n, ok := r.document(data)
 	if !ok {
@@ -61,9 +49,6 @@
 	f := r.mapping("", n)
 	t.Routes = r.routes(f.needList("routes"))
 	t.Pools = r.pools(f.needList("pools"))
-	if stored {
-		t.Edits = r.edits(f.list("edits"))
-	}
 	f.end()
 	r.merge(Check(t))
 	r.findings.sort()
@@ -124,17 +109,10 @@
 	})
 }
 
-// merge adds the findings of a check, with their places. What is at or below a path that has a fault
-// already is left out, since it follows from that fault.
+// merge adds the findings of a check, with their places, but for those that follow from what was
+// found before.
 func (r *reader) merge(found Findings) {
-	faulty := r.findings.Faults()
-	for _, f := range found {
-		follows := slices.ContainsFunc(faulty, func(g Finding) bool {
-			return g.above(f.Path)
-		})
-		if follows {
-			continue
-		}
+	for _, f := range found.without(r.findings.Faults()) {
 		f.Place = r.place(f.Path)
 		r.findings = append(r.findings, f)
 	}
@@ -236,24 +214,3 @@
 	}
 	return members
 }
-
-func (r *reader) edits(nodes []*yaml.Node) []egret.Edit {
-	edits := make([]egret.Edit, 0, len(nodes))
-	for i, n := range nodes {
-		path := fmt.Sprintf("edits[%d]", i)
-		f := r.mapping(path, n)
-		e := egret.Edit{
-			ID:      f.text("id"),
-			Author:  f.textOr("author", ""),
-			Summary: f.textOr("summary", ""),
-		}
-		at, err := time.Parse(time.RFC3339Nano, f.textOr("time", ""))
-		if err != nil {
-			r.add(path+".time", Warning, "expected a time, as 2006-01-02T15:04:05Z")
-		}
-		e.Time = at
-		edits = append(edits, e)
-		f.end()
-	}
-	return edits
-}
--- a/table/form/reader.go
+++ b/table/form/reader.go
@@ -16,9 +16,6 @@
 	// file names the text in findings.
 	file string
 
-	// lenient makes unknown keys warnings.
-	lenient bool
-
 	// findings are in the order of reading.
 	findings Findings
 
@@ -261,13 +258,9 @@
 
 // end reports the keys that nobody asked for.
 func (f *fields) end() {
-	severity := Fault
-	if f.reader.lenient {
-		severity = Warning
-	}
 	for _, k := range f.keys {
 		if !slices.Contains(f.asked, k) {
-			f.reader.add(f.join(k), severity, "unknown key %q (known: %s)", k, strings.Join(f.asked, ", "))
+			f.reader.add(f.join(k), Fault, "unknown key %q (known: %s)", k, strings.Join(f.asked, ", "))
 		}
 	}
 }
--- /dev/null
+++ b/table/form/stored.go
@@ -0,0 +1,103 @@
+package form
+
+import (
+	"encoding/json"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+// ParseStored reads and checks tables as Stored wrote them, with their edits. The findings have paths
+// and no places.
+//
+// Keys that it doesn't know are passed over, so that a proxy takes the tables of a later version of
+// egretlane.
+func ParseStored(data []byte) (*egret.Tables, Findings) {
+	d := document{}
+	err := json.Unmarshal(data, &d)
+	if err != nil {
+		return &egret.Tables{}, Findings{
+			storedFault(err.Error()),
+		}
+	}
+	if d.Routes == nil || d.Pools == nil {
+		return &egret.Tables{}, Findings{
+			storedFault("routes or pools are missing"),
+		}
+	}
+	t := d.tables()
+	return t, Check(t)
+}
+
+func storedFault(text string) Finding {
+	return Finding{
+		Place: Place{
+			File: "stored tables",
+		},
+		Severity: Fault,
+		Text:     text,
+	}
+}
+
+func (d *document) tables() *egret.Tables {
+	t := &egret.Tables{
+		Routes: make([]egret.Route, 0, len(d.Routes)),
+		Pools:  make([]egret.Pool, 0, len(d.Pools)),
+	}
+	for _, r := range d.Routes {
+		t.Routes = append(t.Routes, r.route())
+	}
+	for _, p := range d.Pools {
+		t.Pools = append(t.Pools, p.pool())
+	}
+	for _, e := range d.Edits {
+		t.Edits = append(t.Edits, egret.Edit(e))
+	}
+	return t
+}
+
+func (r route) route() egret.Route {
+	return egret.Route{
+		Name:        r.Name,
+		Caller:      r.Caller,
+		Database:    r.Database,
+		Kinds:       r.Kinds,
+		Pool:        r.Pool,
+		Class:       r.Class,
+		Budget:      time.Duration(r.Budget),
+		MaxAge:      time.Duration(r.MaxAge),
+		Replicas:    r.Replicas,
+		Repeatable:  r.Repeatable,
+		ConfirmWait: time.Duration(r.ConfirmWait),
+	}
+}
+
+func (p pool) pool() egret.Pool {
+	q := egret.Pool{
+		Name:        p.Name,
+		Slots:       p.Slots,
+		Connections: p.Connections,
+		Reserve:     p.Reserve,
+		Queue:       p.Queue,
+		OrderShare:  p.OrderShare,
+		Groups:      make([]egret.Group, 0, len(p.Groups)),
+	}
+	for _, w := range p.Weights {
+		q.Weights = append(q.Weights, egret.Weight(w))
+	}
+	for _, g := range p.Groups {
+		q.Groups = append(q.Groups, g.group())
+	}
+	return q
+}
+
+func (g group) group() egret.Group {
+	h := egret.Group{
+		Name:    g.Name,
+		Members: make([]egret.Member, 0, len(g.Members)),
+	}
+	for _, m := range g.Members {
+		h.Members = append(h.Members, egret.Member(m))
+	}
+	return h
+}
