--- a/fair/queue.go
+++ b/fair/queue.go
@@ -13,6 +13,10 @@
 	// meanWeight is the part of the mean that one request replaces, as 1/meanWeight.
 	meanWeight = 16
 
+	// outlier bounds what one long request does to the mean, in means. Otherwise a single one would
+	// have requests refused that have time enough.
+	outlier = 8
+
 	// forgiven is how long a caller without requests keeps a debt.
 	forgiven = time.Second
 
@@ -152,7 +156,8 @@
 
 // Done settles a request that had its slot for the given time.
 func (q *Queue) Done(now time.Time, it *Item, elapsed time.Duration) {
-	q.mean = q.quantum() + (elapsed-q.quantum())/meanWeight
+	mean := q.quantum()
+	q.mean = mean + (min(elapsed, outlier*mean)-mean)/meanWeight
 	f := q.flowOf(it)
 	f.running--
 	f.ended = now
