proof: run clusters side by side, and read the members' own types

Change: at most three clusters at once; replies of pgsim are read by its types; statements are also checked connection by connection. The proofs through proxies are not run yet.

--- a/egretlab/proof/cluster_test.go
+++ b/egretlab/proof/cluster_test.go
@@ -11,6 +11,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/egretlab/pgsim"
 )
 
 // Names of the cluster's only group and of what callers ask for.
@@ -35,6 +38,12 @@
 	{region: "veneto", domain: "padova-a"},
 }
 
+// clustersAtOnce bounds how many clusters run side by side.
+const clustersAtOnce = 3
+
+// running holds a place for each cluster that runs.
+var running = make(chan struct{}, clustersAtOnce)
+
 // clusterSettings are a cluster's sizes. Zero fields take the workshop's.
 type clusterSettings struct {
 	// Proxies is the number of proxies, three if zero.
@@ -85,6 +94,10 @@
 // startCluster starts all processes, applies the tables and waits until all proxies are ready.
 func startCluster(t testing.TB, s clusterSettings) *cluster {
 	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() {
+		<-running
+	})
 	if s.Proxies == 0 {
 		s.Proxies = 3
 	}
@@ -301,7 +314,7 @@
 // primary returns the member that says that it is primary in the highest term.
 func (c *cluster) primary() (*node, uint64) {
 	c.t.Helper()
-	states := make([]memberState, len(c.members))
+	states := make([]pgsim.StateReply, len(c.members))
 	var asked sync.WaitGroup
 	for i, m := range c.members {
 		asked.Go(func() {
@@ -312,7 +325,7 @@
 	var best *node
 	term := uint64(0)
 	for i, s := range states {
-		if s.Role == "primary" && s.Granted >= term {
+		if s.Role == egret.RolePrimary && s.Granted >= term {
 			best = c.members[i]
 			term = s.Granted
 		}
--- a/egretlab/proof/inforce_test.go
+++ b/egretlab/proof/inforce_test.go
@@ -106,6 +106,7 @@
 // TestTablesInForce changes the tables while operators race, answers get lost, the store goes down
 // and a proxy starts.
 func TestTablesInForce(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, clusterSettings{})
 	late := c.addProxy(len(c.proxies))
 	c.proxies = c.proxies[:3]
--- a/egretlab/proof/leaving_test.go
+++ b/egretlab/proof/leaving_test.go
@@ -96,6 +96,7 @@
 
 // TestLeavingServer makes a replica leave in each way while callers read.
 func TestLeavingServer(t *testing.T) {
+	t.Parallel()
 	for _, f := range leavingFacts {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
--- a/egretlab/proof/members_test.go
+++ b/egretlab/proof/members_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"egretlane.example/egret/egretlab/pgsim/stats"
+	"egretlane.example/egret/egretlab/pgsim"
 	"egretlane.example/egret/egretlab/pgsim/walog"
 )
 
@@ -45,16 +45,9 @@
 	return nil
 }
 
-// memberState is what a member says of itself on its operators' port.
-type memberState struct {
-	Member  string `json:"member"`
-	Role    string `json:"role"`
-	Granted uint64 `json:"granted"`
-}
-
 // state asks a member for its state.
-func (n *node) state() (memberState, error) {
-	s := memberState{}
+func (n *node) state() (pgsim.StateReply, error) {
+	s := pgsim.StateReply{}
 	err := fetch(n.operator, "/state", &s)
 	return s, err
 }
@@ -85,17 +78,9 @@
 	return logs
 }
 
-// memberStats is what a member counted and saw.
-type memberStats struct {
-	Connections        []stats.Connection `json:"connections"`
-	Totals             []stats.Total      `json:"totals"`
-	HighestConnections int                `json:"highest-connections"`
-	HighestRunning     int                `json:"highest-running"`
-}
-
 // stats reads a member's counts and its newest events.
-func (n *node) stats() (memberStats, error) {
-	s := memberStats{}
+func (n *node) stats() (pgsim.StatsReply, error) {
+	s := pgsim.StatsReply{}
 	err := fetch(n.operator, "/stats", &s)
 	return s, err
 }
@@ -110,9 +95,9 @@
 			t.Errorf("stats of %s: %v", m.name, err)
 			continue
 		}
-		if s.HighestConnections > c.settings.Connections || s.HighestRunning > c.settings.Slots {
-			t.Errorf("%s had %d connections of %d and ran %d statements of %d", m.name,
-				s.HighestConnections, c.settings.Connections, s.HighestRunning, c.settings.Slots)
+		if s.HighestConnections > c.settings.Connections || s.RefusedConnections > 0 || s.HighestRunning > c.settings.Slots {
+			t.Errorf("%s had %d connections of %d, refused %d more, and ran %d statements of %d", m.name,
+				s.HighestConnections, c.settings.Connections, s.RefusedConnections, s.HighestRunning, c.settings.Slots)
 		}
 	}
 }
@@ -126,12 +111,17 @@
 		if err != nil {
 			c.t.Fatal(err)
 		}
+		begun, asked := 0, 0
 		for _, o := range s.Totals {
 			switch o.Command {
+			case "BEGIN":
+				begun += int(o.Count)
 			case "INSERT", "UPDATE", "SELECT":
-				n += int(o.Count)
+				asked += int(o.Count)
 			}
 		}
+		// A statement behind a refused BEGIN is not counted.
+		n += max(begun, asked)
 	}
 	return n
 }
--- a/egretlab/proof/mixing_test.go
+++ b/egretlab/proof/mixing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"egretlane.example/egret/egretlab/pgsim/stats"
 	"egretlane.example/egret/egretlab/pgsim/walog"
 )
 
@@ -112,6 +114,7 @@
 // TestTransactionsNeverMix runs many transactions over few connections. An entry of the log is one
 // commit: it must hold both orders of one transaction and nothing else.
 func TestTransactionsNeverMix(t *testing.T) {
+	t.Parallel()
 	const seed = 41
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
@@ -135,6 +138,7 @@
 	if mixed := mixedEntries(h.final); len(mixed) > 0 {
 		t.Errorf("entries that hold parts of other transactions: %v", mixed)
 	}
+	c.wantOneTransactionAtATime(t)
 	if n := m.committed.Load(); n < mixTransactions/2 {
 		t.Errorf("%d transactions committed, too few to show anything", n)
 	}
@@ -212,6 +216,48 @@
 	return mixed
 }
 
+// wantOneTransactionAtATime looks through the statements of each connection. Those between a begin
+// and its end must be of one transaction of the mixer.
+func (c *cluster) wantOneTransactionAtATime(t *testing.T) {
+	t.Helper()
+	for _, m := range c.members {
+		s, err := m.stats()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, k := range s.Connections {
+			if mixed := mixedEvents(k.Events); len(mixed) > 0 {
+				t.Errorf("%s connection %d: %v", m.name, k.Process, mixed)
+			}
+		}
+	}
+}
+
+// mixedName finds the name of a transaction of the mixer in a statement.
+var mixedName = regexp.MustCompile(`'(mix-[0-9]+)/`)
+
+// mixedEvents returns the statements of a connection that came inside another transaction.
+func mixedEvents(events []stats.Event) []string {
+	var mixed []string
+	name := ""
+	number := uint64(0)
+	for _, e := range events {
+		if e.Kind != stats.KindStatement || e.Transaction != number {
+			name = ""
+			number = e.Transaction
+		}
+		found := mixedName.FindStringSubmatch(e.Text)
+		if found == nil {
+			continue
+		}
+		if name != "" && name != found[1] {
+			mixed = append(mixed, e.Text)
+		}
+		name = found[1]
+	}
+	return mixed
+}
+
 // sharedConnection lets two callers share one connection, statement by statement.
 func sharedConnection(t *testing.T, c *cluster) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/egretlab/proof/orders_test.go
+++ b/egretlab/proof/orders_test.go
@@ -15,6 +15,7 @@
 // TestAtMostOnce places orders and changes while links break at random and the primary freezes in
 // the middle. Each write must be in the final log at most once, and each acknowledged one there.
 func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
 	const seed = 31
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
@@ -55,6 +56,7 @@
 // TestAtMostOnceRetried has callers that send an order again until its outcome is known, with and
 // without an idempotency key.
 func TestAtMostOnceRetried(t *testing.T) {
+	t.Parallel()
 	const seed = 32
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
@@ -86,6 +88,7 @@
 
 // TestAtMostOnceBaseline sends changes again whose answers were lost.
 func TestAtMostOnceBaseline(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, clusterSettings{
 		Proxies: 1,
 	})
@@ -117,6 +120,7 @@
 
 // TestNotRunMeansNotRun breaks links at random and gathers the requests that were called not run.
 func TestNotRunMeansNotRun(t *testing.T) {
+	t.Parallel()
 	const seed = 33
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
--- a/egretlab/proof/reads_test.go
+++ b/egretlab/proof/reads_test.go
@@ -33,6 +33,7 @@
 
 // TestReadYourWritesRoaming moves sessions between proxies while the replicas are far behind.
 func TestReadYourWritesRoaming(t *testing.T) {
+	t.Parallel()
 	const seed = 11
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
@@ -65,6 +66,7 @@
 
 // TestReadYourWritesOldToken hands back the token of an earlier write of the same session.
 func TestReadYourWritesOldToken(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, clusterSettings{
 		Lag: farBehind,
 	})
@@ -84,6 +86,7 @@
 // TestReadYourWritesPromotion lets a primary that is cut off go on answering its own proxy while
 // another one is promoted, with callers that write and read all the time.
 func TestReadYourWritesPromotion(t *testing.T) {
+	t.Parallel()
 	const seed = 12
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
--- a/egretlab/proof/retries_test.go
+++ b/egretlab/proof/retries_test.go
@@ -12,6 +12,7 @@
 // TestRetriesUnderRefusal has all members refuse everything and compares their load with the
 // callers' own.
 func TestRetriesUnderRefusal(t *testing.T) {
+	t.Parallel()
 	const seed = 61
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{
--- a/egretlab/proof/stop_test.go
+++ b/egretlab/proof/stop_test.go
@@ -19,6 +19,7 @@
 // TestGracefulShutdown ends each proxy in turn under load, with a long statement, an open
 // transaction and an idle session on it. No request may be cut.
 func TestGracefulShutdown(t *testing.T) {
+	t.Parallel()
 	const seed = 51
 	t.Logf("seed %d", seed)
 	c := startCluster(t, clusterSettings{})
--- a/egretlab/proof/supersede_test.go
+++ b/egretlab/proof/supersede_test.go
@@ -83,10 +83,12 @@
 // TestSupersededPrimary takes the primary away in several ways under load. Each acknowledged order
 // must be on the final primary, and none acknowledged after the promotion may be of an earlier term.
 func TestSupersededPrimary(t *testing.T) {
+	t.Parallel()
 	const seed = 21
 	t.Logf("seed %d", seed)
 	for _, f := range failures {
 		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
 			testSuperseded(t, f, seed)
 		})
 	}
@@ -132,6 +134,7 @@
 
 // testSupersededBaseline takes a cut-off primary's own word for an order.
 func testSupersededBaseline(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, clusterSettings{})
 	old, term := c.primary()
 	c.isolate(old.name)
@@ -155,6 +158,7 @@
 
 // TestTwoPromoters has a second hand raise the term while the proxies promote.
 func TestTwoPromoters(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, clusterSettings{})
 	old, term := c.primary()
 	l := c.startLoad(loadSettings{
--- a/egretlab/proof/whole_test.go
+++ b/egretlab/proof/whole_test.go
@@ -26,6 +26,7 @@
 
 // TestWholeAnswers shows that nobody gets a short or a foreign answer as success.
 func TestWholeAnswers(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, clusterSettings{
 		Tables: func(s *tableSettings) {
 			s.OrderBudget = lateBudget
