egretctl: golden tests of the commands and their exit statuses

Two operators race, the store fails before and after a change, an edit comes back with faults, a proxy is unreachable. An apply whose outcome is unknown prints the command that settles it, with the revision that it was made from: repeated without it, it could overwrite a later edit.

--- a/egretctl/apply.go
+++ b/egretctl/apply.go
@@ -100,6 +100,12 @@
 		p.Edit.Summary = summary(found)
 	}
 	applied, err := s.editor.Apply(ctx, p)
+	if errors.HasType[*table.OutcomeError](err) {
+		return &exitError{
+			status: exitUnknown,
+			err:    errors.Errorf("%v\nto settle it, apply the same file with --edit-id %s --expect-revision %d", err, p.Edit.ID, p.Base),
+		}
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/egretctl/edit.go
+++ b/egretctl/edit.go
@@ -116,14 +116,24 @@
 			return t, nil
 		}
 		if bytes.Equal(before, d.text) {
-			return nil, errors.Trace(&form.Error{
-				Findings: findings,
-			})
+			return nil, d.giveUp(findings)
 		}
 		d.report(findings)
 	}
 }
 
+// giveUp leaves the text in the file, without the notes, so that the findings' lines are the file's.
+func (d *draft) giveUp(findings form.Findings) error {
+	d.notes = nil
+	err := d.save()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(&form.Error{
+		Findings: findings,
+	})
+}
+
 // report puts the findings into the notes. Lines count as in the file, below the notes.
 func (d *draft) report(findings form.Findings) {
 	d.notes = []string{"The tables have faults. Leave the text as it is to give up."}
@@ -137,16 +147,22 @@
 	}
 }
 
-// open writes the file, runs the editor and reads the file.
-func (d *draft) open(ctx context.Context, c *cli.Command) error {
+// save writes the notes and the text to the file.
+func (d *draft) save() error {
 	b := bytes.Buffer{}
 	for _, n := range d.notes {
 		b.WriteString(notePrefix + n + "\n")
 	}
 	b.Write(d.text)
 	err := os.WriteFile(d.name, b.Bytes(), 0o600)
+	return errors.Annotate(err, "keeping the text")
+}
+
+// open writes the file, runs the editor and reads the file.
+func (d *draft) open(ctx context.Context, c *cli.Command) error {
+	err := d.save()
 	if err != nil {
-		return errors.Annotate(err, "keeping the text")
+		return errors.Trace(err)
 	}
 	words := editorCommand()
 	e := exec.CommandContext(ctx, words[0], append(words[1:], d.name)...)
--- a/egretctl/main.go
+++ b/egretctl/main.go
@@ -40,7 +40,7 @@
   2  wrong usage
   3  the tables have faults
   4  conflict: another edit came first
-  5  outcome unknown: run the same apply again with the edit ID that was printed
+  5  outcome unknown: settle it by the apply that is printed
   6  some of the proxies gave no status`
 
 func main() {
--- /dev/null
+++ b/egretctl/main_test.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"egretlane.example/egret/internal/peerpb"
+	"egretlane.example/egret/internal/storpb"
+)
+
+// fakeStore holds one key.
+type fakeStore struct {
+	storpb.UnimplementedStoreServer
+
+	mu       sync.Mutex
+	revision uint64
+	data     []byte
+
+	// beforeSwap runs once, ahead of the next compare-and-swap.
+	beforeSwap func()
+
+	// down fails all calls but the first ones.
+	down  bool
+	allow int
+}
+
+func (s *fakeStore) Get(context.Context, *storpb.GetRequest) (*storpb.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isDown() {
+		return nil, status.Error(codes.Unavailable, "down")
+	}
+	return &storpb.Value{
+		Revision: s.revision,
+		Data:     s.data,
+	}, nil
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, r *storpb.CompareAndSwapRequest) (*storpb.CompareAndSwapReply, error) {
+	if f := s.beforeSwap; f != nil {
+		s.beforeSwap = nil
+		f()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isDown() {
+		return nil, status.Error(codes.Unavailable, "down")
+	}
+	if r.GetRevision() != s.revision {
+		return nil, status.Error(codes.Aborted, "changed")
+	}
+	s.revision++
+	s.data = r.GetData()
+	return &storpb.CompareAndSwapReply{
+		Revision: s.revision,
+	}, nil
+}
+
+// isDown uses up one of the calls that are allowed. The caller holds mu.
+func (s *fakeStore) isDown() bool {
+	s.allow--
+	return s.down && s.allow < 0
+}
+
+// fakePeer answers Status.
+type fakePeer struct {
+	peerpb.UnimplementedPeerServer
+
+	reply *peerpb.StatusReply
+}
+
+func (p *fakePeer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return p.reply, nil
+}
+
+// serve runs a server until the test ends and returns its address.
+func serve(t *testing.T, register func(s *grpc.Server)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer()
+	register(s)
+	go func() {
+		_ = s.Serve(l)
+	}()
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+// console runs command lines against one store and keeps what they print.
+type console struct {
+	store  string
+	output bytes.Buffer
+}
+
+func newConsole(t *testing.T, s *fakeStore) *console {
+	t.Helper()
+	return &console{
+		store: serve(t, func(g *grpc.Server) {
+			storpb.RegisterStoreServer(g, s)
+		}),
+	}
+}
+
+func (c *console) run(t *testing.T, want exitStatus, args ...string) {
+	t.Helper()
+	c.output.WriteString("$ egretctl " + strings.Join(args, " ") + "\n")
+	line := append([]string{"egretctl", "--store", c.store}, args...)
+	got := run(t.Context(), line, strings.NewReader(""), &c.output, &c.output)
+	if got != want {
+		t.Errorf("egretctl %v = %d, want %d\n%s", args, got, want, c.output.String())
+	}
+}
+
+// What differs from run to run is replaced before the golden file is compared.
+var (
+	ids   = regexp.MustCompile(`[A-Z2-7]{26}`)
+	times = regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:]+Z`)
+	ports = regexp.MustCompile(`127\.0\.0\.1:\d{5}\b`)
+	files = regexp.MustCompile(`\S*egretlane-tables-\d+\.yaml`)
+)
+
+// compare checks the output against a golden file. Set EGRET_UPDATE=1 to write it.
+func (c *console) compare(t *testing.T, name string) {
+	t.Helper()
+	got := ids.ReplaceAllString(c.output.String(), "ID")
+	got = times.ReplaceAllString(got, "TIME")
+	got = ports.ReplaceAllString(got, "ADDRESS")
+	got = files.ReplaceAllString(got, "DRAFT")
+	golden := filepath.Join("testdata", name)
+	if os.Getenv("EGRET_UPDATE") != "" {
+		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%swant\n%s", golden, got, want)
+	}
+}
+
+func TestTables(t *testing.T) {
+	t.Setenv("EGRETCTL_AUTHOR", "ann")
+	s := &fakeStore{}
+	c := newConsole(t, s)
+	c.run(t, exitOK, "validate", "testdata/tables.yaml")
+	c.run(t, exitFaults, "validate", "testdata/faults.yaml")
+	c.run(t, exitFailed, "get")
+	c.run(t, exitFaults, "apply", "testdata/faults.yaml")
+	c.run(t, exitOK, "apply", "testdata/tables.yaml")
+	c.run(t, exitOK, "apply", "testdata/tables.yaml")
+	c.run(t, exitOK, "diff", "testdata/other.yaml")
+	c.run(t, exitConflict, "apply", "--expect-revision", "7", "testdata/other.yaml")
+	s.beforeSwap = func() {
+		c.run(t, exitOK, "apply", "--author", "bea", "--summary", "bea was first", "testdata/other.yaml")
+	}
+	c.run(t, exitConflict, "apply", "--author", "cleo", "--summary", "cleo was second", "testdata/third.yaml")
+	c.run(t, exitOK, "history")
+	c.run(t, exitOK, "get")
+	c.run(t, exitUsage, "get", "--format", "xml")
+	c.run(t, exitUsage, "frobnicate")
+	c.compare(t, "tables.golden")
+}
+
+func TestApplyWithTheStoreFailing(t *testing.T) {
+	t.Setenv("EGRETCTL_AUTHOR", "ann")
+	s := &fakeStore{
+		down: true,
+	}
+	c := newConsole(t, s)
+	c.run(t, exitFailed, "--timeout", "100ms", "apply", "--edit-id", "e1", "testdata/tables.yaml")
+	s.allow = 2 // The reads ahead of the change.
+	c.run(t, exitUnknown, "--timeout", "300ms", "apply", "--edit-id", "e1", "testdata/tables.yaml")
+	s.down = false
+	c.run(t, exitOK, "apply", "--edit-id", "e1", "--expect-revision", "0", "testdata/tables.yaml")
+	c.compare(t, "failing.golden")
+}
+
+// An edit with faults goes back to the editor, and its text is kept if the editor gives up.
+func TestEdit(t *testing.T) {
+	t.Setenv("EGRETCTL_AUTHOR", "ann")
+	t.Setenv("TMPDIR", t.TempDir())
+	t.Setenv("VISUAL", "")
+	c := newConsole(t, &fakeStore{})
+	c.run(t, exitOK, "apply", "testdata/tables.yaml")
+	setEditor(t, "cat $1; sed -i 's/slots: 2/slots: two/' $1")
+	c.run(t, exitFaults, "edit")
+	setEditor(t, "sed -i -e 's/slots: two/slots: 3/' -e 's/slots: 2/slots: two/' $1")
+	c.run(t, exitOK, "edit")
+	setEditor(t, "true")
+	c.run(t, exitOK, "edit")
+	c.run(t, exitOK, "history")
+	c.compare(t, "edit.golden")
+	kept, err := filepath.Glob(filepath.Join(os.Getenv("TMPDIR"), "*.yaml"))
+	if err != nil || len(kept) != 1 {
+		t.Errorf("%v kept, want the text with faults", kept)
+	}
+}
+
+// setEditor makes a shell script the operator's editor.
+func setEditor(t *testing.T, script string) {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "editor")
+	err := os.WriteFile(name, []byte("#!/bin/sh\n"+script+"\n"), 0o700)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("EDITOR", name)
+}
+
+func TestStatus(t *testing.T) {
+	c := &console{}
+	one := serveStatus(t, sampleStatus("proxy-1", 2))
+	two := serveStatus(t, sampleStatus("proxy-2", 1))
+	c.run(t, exitOK, "status", "--proxy", one, "--proxy", two)
+	c.run(t, exitOK, "status", "--proxy", one, "--format", "json")
+	c.run(t, exitPartial, "status", "--proxy", one, "--proxy", "127.0.0.1:1")
+	c.run(t, exitFailed, "status", "--proxy", "127.0.0.1:1")
+	c.compare(t, "status.golden")
+}
+
+func serveStatus(t *testing.T, r *peerpb.StatusReply) string {
+	t.Helper()
+	return serve(t, func(g *grpc.Server) {
+		peerpb.RegisterPeerServer(g, &fakePeer{
+			reply: r,
+		})
+	})
+}
+
+func sampleStatus(id string, term uint64) *peerpb.StatusReply {
+	return &peerpb.StatusReply{
+		Self: &peerpb.Node{
+			Id:     id,
+			Region: "lombardia",
+			Domain: "lecco-a",
+			State:  "alive",
+		},
+		Revision: 4,
+		Ready:    true,
+		Sessions: 3,
+		Facts: []*peerpb.Fact{{
+			Group:   "catalogo-1",
+			Term:    term,
+			Primary: "member-1",
+		}},
+		Lanes: []*peerpb.LaneStatus{{
+			Member:         "member-of-" + id,
+			Group:          "catalogo-1",
+			Role:           "replica",
+			Granted:        term,
+			ReceivedTerm:   term,
+			ReceivedOffset: 40,
+			AppliedTerm:    term,
+			AppliedOffset:  39,
+			LagMicros:      1500,
+			Connections:    2,
+			Reached:        true,
+		}, {
+			Member:    "silent-of-" + id,
+			Group:     "catalogo-1",
+			LagMicros: -1,
+		}},
+	}
+}
--- a/egretctl/status.go
+++ b/egretctl/status.go
@@ -35,12 +35,12 @@
 			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return commandError(status(ctx, c))
+			return commandError(showStatus(ctx, c))
 		},
 	}
 }
 
-func status(ctx context.Context, c *cli.Command) error {
+func showStatus(ctx context.Context, c *cli.Command) error {
 	addresses, err := proxyAddresses(c)
 	if err != nil {
 		return err
