--- a/failure.go
+++ b/failure.go
@@ -14,6 +14,9 @@
 	// ErrLeaseLapsed says that a lease has ended.
 	ErrLeaseLapsed = errors.ConstError("the lease has ended")
 
+	// ErrUnseen says that a proxy that was asked about a member doesn't reach it.
+	ErrUnseen = errors.ConstError("the member is not reached from there")
+
 	// ErrNoTables says that no tables are known yet.
 	ErrNoTables = errors.ConstError("no tables are known yet")
 )
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -12,9 +12,6 @@
 	"egretlane.example/egret/peer/roster"
 )
 
-// ErrUnseen says that a witness doesn't reach the member it was asked about.
-const ErrUnseen = errors.ConstError("the witness does not reach the member")
-
 // Leave tells the others that this proxy leaves. They place no lanes on it from then on. It returns
 // when the partners have answered or the context has ended.
 func (m *Mesh) Leave(ctx context.Context) {
@@ -69,7 +66,7 @@
 }
 
 // Witness asks another proxy for the state of a member, as it sees it. The state has the member's
-// name, role and granted term only. An error that satisfies errors.Is(err, ErrUnseen) says that the
+// name, role and granted term only. An error that satisfies errors.Is(err, egret.ErrUnseen) says that the
 // proxy answered but doesn't reach the member.
 func (m *Mesh) Witness(ctx context.Context, n egret.Node, group string, member string) (egret.MemberState, error) {
 	m.open()
@@ -85,7 +82,7 @@
 		return egret.MemberState{}, errors.Annotatef(err, "witness %s", n.ID)
 	}
 	if !reply.GetReached() {
-		return egret.MemberState{}, errors.Annotatef(ErrUnseen, "witness %s", n.ID)
+		return egret.MemberState{}, errors.Annotatef(egret.ErrUnseen, "witness %s", n.ID)
 	}
 	return egret.MemberState{
 		Member:  member,
--- /dev/null
+++ b/promo/mend.go
@@ -0,0 +1,137 @@
+package promo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+// look is a call that runs while its owner goes on.
+type look[T any] struct {
+	// result has the result of the call that was started. It is nil if there is none.
+	result chan T
+}
+
+// start runs the call unless one runs already.
+func (l *look[T]) start(call func() T) {
+	if l.result != nil {
+		return
+	}
+	result := make(chan T, 1)
+	l.result = result
+	go func() {
+		result <- call()
+	}()
+}
+
+// poll returns the result of the call that has ended, if any.
+func (l *look[T]) poll() (T, bool) {
+	select {
+	case v := <-l.result:
+		l.result = nil
+		return v, true
+	default:
+		var none T
+		return none, false
+	}
+}
+
+// mend looks at all members. It announces a primary that the proxies missed, and makes members that
+// don't follow it do so. A silent member doesn't hold up the heartbeats.
+func (w *Watcher) mend(ctx context.Context, v *watched, g egret.Group, fact egret.GroupFact, known bool) {
+	now := time.Now()
+	if states, ok := v.members.poll(); ok {
+		w.examined(ctx, v, g, fact, known, states)
+	}
+	if now.Before(v.nextMend) {
+		return
+	}
+	v.nextMend = now.Add(w.Timing.Mend)
+	v.members.start(func() []egret.MemberState {
+		return w.survey(ctx, g)
+	})
+}
+
+// examined judges the states of the members and puts in order what is out of it.
+func (w *Watcher) examined(ctx context.Context, v *watched, g egret.Group, fact egret.GroupFact, known bool, states []egret.MemberState) {
+	f := Examine(g, fact, known, states)
+	v.highest = max(v.highest, f.Highest)
+	v.progress.Observe(f, states, majority(g), time.Now())
+	since(&v.orphanSince, f.Orphan)
+	if f.Known && f.Leads {
+		w.Peers.Announce(f.Lead)
+	}
+	if len(f.Follow) > 0 {
+		go w.follow(ctx, g, f.Lead, f.Follow, w.counts.mended.Inc)
+	}
+}
+
+// survey asks all members for their state.
+func (w *Watcher) survey(ctx context.Context, g egret.Group) []egret.MemberState {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	calls := []func() (egret.MemberState, error){}
+	for _, m := range g.Members {
+		calls = append(calls, func() (egret.MemberState, error) {
+			return w.Control.Status(ctx, m)
+		})
+	}
+	return collect(calls, len(g.Members), 0, nil)
+}
+
+// fenceGrace is how long further members are waited for once enough have answered.
+const fenceGrace = 150 * time.Millisecond
+
+// collect runs the calls at once and returns the states that came back. It returns early when
+// enough have come and the grace is over. Failed takes the errors, from one goroutine at a time.
+func collect(calls []func() (egret.MemberState, error), enough int, grace time.Duration, failed func(err error)) []egret.MemberState {
+	answers := make(chan answer, len(calls))
+	for _, c := range calls {
+		go func() {
+			s, err := c()
+			answers <- answer{
+				state: s,
+				err:   err,
+			}
+		}()
+	}
+	states := []egret.MemberState{}
+	var over <-chan time.Time
+	for range calls {
+		select {
+		case a := <-answers:
+			if a.err == nil {
+				states = append(states, a.state)
+			} else if failed != nil {
+				failed(a.err)
+			}
+		case <-over:
+			return states
+		}
+		if len(states) >= enough && over == nil {
+			over = time.After(grace)
+		}
+	}
+	return states
+}
+
+// follow makes members follow the primary of a term.
+func (w *Watcher) follow(ctx context.Context, g egret.Group, lead egret.GroupFact, members []string, done func()) {
+	primary := addressOf(g, lead.Primary)
+	if !primary.IsValid() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	wg := sync.WaitGroup{}
+	for _, name := range members {
+		wg.Go(func() {
+			if _, err := w.Control.Follow(ctx, memberOf(g, name), lead.Term, primary); err == nil && done != nil {
+				done()
+			}
+		})
+	}
+	wg.Wait()
+}
