table: hand the tables on as they were stored

A proxy that encoded its decoded tables for its peers would strip, at the same revision, what a later version of egretlane had put in, and those behind it would keep the stripped form for good. The keeper now keeps the bytes: Bytes and OfferBytes carry them from proxy to proxy.

--- a/table/form/stored.go
+++ b/table/form/stored.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"egretlane.example/egret"
@@ -13,6 +14,11 @@
 // Keys that it doesn't know are passed over, so that a proxy takes the tables of a later version of
 // egretlane.
 func ParseStored(data []byte) (*egret.Tables, Findings) {
+	if len(data) > MaxBytes {
+		return &egret.Tables{}, Findings{
+			storedFault(fmt.Sprintf("%d bytes, more than %d", len(data), MaxBytes)),
+		}
+	}
 	d := document{}
 	err := json.Unmarshal(data, &d)
 	if err != nil {
--- a/table/keeper.go
+++ b/table/keeper.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/phuslu/log"
 
 	"egretlane.example/egret"
@@ -63,6 +64,10 @@
 	// now is nil until the first tables. Its revision only rises.
 	now *egret.Tables
 
+	// data is what now was decoded from. It is handed on as it is, so that proxies of an earlier
+	// version pass on what they don't know. It is nil for tables that were offered without it.
+	data []byte
+
 	// seen is the highest revision that the store has shown, with faults or without.
 	seen uint64
 
@@ -93,26 +98,80 @@
 	return k.changed
 }
 
+// Bytes returns the tables in force as they go to other proxies, or a revision of zero if there are
+// none yet.
+func (k *Keeper) Bytes() (uint64, []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.now == nil {
+		return 0, nil
+	}
+	if k.data == nil {
+		data, err := Encode(k.now)
+		if err != nil {
+			return 0, nil
+		}
+		k.data = data
+	}
+	return k.now.Revision, k.data
+}
+
+// OfferBytes decodes what another proxy's Bytes returned and puts it in force if its revision is
+// higher than that of the tables now. An error says that it has faults.
+func (k *Keeper) OfferBytes(revision uint64, data []byte) error {
+	if !k.isNewer(revision) {
+		return nil
+	}
+	t, err := Decode(revision, data)
+	if err != nil {
+		k.countFaulty()
+		return errors.Trace(err)
+	}
+	k.offer(t, data)
+	return nil
+}
+
 // Offer puts the tables in force if their revision is higher than that of the tables now, and
 // reports whether it did. The tables come from Decode and aren't changed afterwards.
 func (k *Keeper) Offer(t *egret.Tables) bool {
-	if !k.take(t) {
+	return k.offer(t, nil)
+}
+
+func (k *Keeper) offer(t *egret.Tables, data []byte) bool {
+	if !k.take(t, data) {
 		return false
 	}
 	k.logger().Info().Uint64("revision", t.Revision).Int("routes", len(t.Routes)).Int("pools", len(t.Pools)).Msg("tables in force")
 	return true
 }
 
-func (k *Keeper) take(t *egret.Tables) bool {
+// isNewer reports whether the revision is higher than that of the tables now, and counts it if it is
+// lower.
+func (k *Keeper) isNewer(revision uint64) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.now != nil && t.Revision <= k.now.Revision {
-		if t.Revision < k.now.Revision {
-			k.counts.older++
-		}
+	return k.compare(revision)
+}
+
+// compare is isNewer for a caller that holds mu.
+func (k *Keeper) compare(revision uint64) bool {
+	if k.now == nil {
+		return true
+	}
+	if revision < k.now.Revision {
+		k.counts.older++
+	}
+	return revision > k.now.Revision
+}
+
+func (k *Keeper) take(t *egret.Tables, data []byte) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.compare(t.Revision) {
 		return false
 	}
 	k.now = t
+	k.data = data
 	k.seen = max(k.seen, t.Revision)
 	if k.changed != nil {
 		close(k.changed)
@@ -196,16 +255,24 @@
 	if v.Revision <= k.lastSeen() {
 		return
 	}
-	t, err := Decode(v.Revision, v.Data)
-	if err == nil {
-		k.Offer(t)
-		return
+	err := k.OfferBytes(v.Revision, v.Data)
+	k.see(v.Revision)
+	if err != nil {
+		k.logger().Error().Err(err).Uint64("revision", v.Revision).Msg("the store's tables have faults and are refused")
 	}
+}
+
+// see notes a revision of the store.
+func (k *Keeper) see(revision uint64) {
 	k.mu.Lock()
-	k.seen = max(k.seen, v.Revision)
+	defer k.mu.Unlock()
+	k.seen = max(k.seen, revision)
+}
+
+func (k *Keeper) countFaulty() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.counts.faulty++
-	k.mu.Unlock()
-	k.logger().Error().Err(err).Uint64("revision", v.Revision).Msg("the store's tables have faults and are refused")
 }
 
 func (k *Keeper) lastSeen() uint64 {
--- a/table/keeper_test.go
+++ b/table/keeper_test.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -140,7 +141,8 @@
 	})
 }
 
-// A proxy that starts while the store is down takes the tables of a peer.
+// A proxy that starts while the store is down takes the tables of a peer, and hands them on as they
+// are, with what a later version has put in.
 func TestKeeperStartsWithAPeersTables(t *testing.T) {
 	m := &memory{
 		down: true,
@@ -155,14 +157,17 @@
 		},
 	}
 	run(t, k)
-	tables, err := Decode(7, encoded(t, 2))
-	if err != nil {
+	data := append([]byte(`{"later":true,`), encoded(t, 2)[1:]...)
+	if err := k.OfferBytes(7, data); err != nil {
 		t.Fatal(err)
 	}
-	if !k.Offer(tables) {
-		t.Error("the offer was refused")
-	}
 	await(t, k, 7)
+	if err := k.OfferBytes(8, []byte("{}")); err == nil {
+		t.Error("tables without routes were taken")
+	}
+	if revision, got := k.Bytes(); revision != 7 || !bytes.Equal(got, data) {
+		t.Errorf("Bytes() = %d, %s, want 7, %s", revision, got, data)
+	}
 }
 
 // A proxy that doesn't watch asks the store only while it hears no peer.
--- a/table/metric.go
+++ b/table/metric.go
@@ -10,7 +10,7 @@
 	// older counts the offers of a lower revision.
 	older uint64
 
-	// faulty counts the store's values that have faults.
+	// faulty counts the values, of the store or of peers, that have faults.
 	faulty uint64
 }
 
@@ -37,5 +37,5 @@
 	gauge("egretlane_tables_store_revision", "Highest revision that the store or a peer has shown. Above the revision in force, the store's value has faults.", float64(k.seen))
 	counter("egretlane_tables_store_errors_total", "Failed calls of the store for the tables.", k.counts.failures)
 	counter("egretlane_tables_older_offers_total", "Tables that were refused since their revision is lower than that in force.", k.counts.older)
-	counter("egretlane_tables_faulty_values_total", "Values of the store that were refused since they have faults.", k.counts.faulty)
+	counter("egretlane_tables_faulty_values_total", "Values of the store and of peers that were refused since they have faults.", k.counts.faulty)
 }
