--- a/egretlab/demo.go
+++ b/egretlab/demo.go
@@ -81,7 +81,7 @@
 		return errors.Annotate(err, "placing the order")
 	}
 	report("placed the order through", d.proxies[0], placed)
-	read := fmt.Sprintf("SELECT item FROM orders WHERE id = '%s' /*kind='stock'*/", id)
+	read := fmt.Sprintf("SELECT item FROM orders WHERE id = '%s'", id)
 	if err := d.read(ctx, d.proxies[1], placed.token, read, "read it with the token through"); err != nil {
 		return err
 	}
--- a/egretlane/assemble.go
+++ b/egretlane/assemble.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"context"
 	"sync/atomic"
 
-	"github.com/juju/errors"
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
 
@@ -17,6 +15,7 @@
 	"egretlane.example/egret/oper"
 	"egretlane.example/egret/peer"
 	"egretlane.example/egret/place"
+	"egretlane.example/egret/promo"
 	"egretlane.example/egret/store"
 	"egretlane.example/egret/table"
 )
@@ -33,6 +32,7 @@
 	m *peer.Mesh,
 	control *member.Control,
 	h *lane.Holder,
+	w *promo.Watcher,
 	d *entry.Desk,
 	callers *caller.Server,
 	peers *grpc.Server,
@@ -48,9 +48,7 @@
 	m.OnCancel = func(process uint32, secret []byte) bool {
 		return cancelHere(d, process, secret)
 	}
-	m.OnWitness = func(ctx context.Context, group string, name string) (egret.MemberState, error) {
-		return witness(ctx, k, control, group, name)
-	}
+	m.OnWitness = w.Witness
 	m.Sessions = d.Sessions
 	m.Lanes = func() []*peerpb.LaneStatus {
 		return laneStatus(h.Status())
@@ -63,6 +61,7 @@
 		mesh:    m,
 		control: control,
 		holder:  h,
+		watcher: w,
 		desk:    d,
 		callers: callers,
 		peers:   peers,
@@ -99,23 +98,6 @@
 	return d.CancelHere(k)
 }
 
-// witness asks a member for its state, for a peer that can't reach it.
-func witness(ctx context.Context, k *table.Keeper, c *member.Control, group, name string) (egret.MemberState, error) {
-	t := k.Now()
-	if t == nil {
-		return egret.MemberState{}, errors.Trace(egret.ErrNoTables)
-	}
-	for i := range t.Pools {
-		for j := range t.Pools[i].Groups {
-			g := &t.Pools[i].Groups[j]
-			if m := g.Member(name); g.Name == group && m != nil {
-				return c.Status(ctx, *m)
-			}
-		}
-	}
-	return egret.MemberState{}, errors.NotFoundf("member %q of group %q", name, group)
-}
-
 func laneStatus(states []lane.Status) []*peerpb.LaneStatus {
 	out := make([]*peerpb.LaneStatus, 0, len(states))
 	for _, s := range states {
--- a/egretlane/providers.go
+++ b/egretlane/providers.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/wire"
 	"github.com/juju/errors"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +20,7 @@
 	"egretlane.example/egret/member"
 	"egretlane.example/egret/oper"
 	"egretlane.example/egret/peer"
+	"egretlane.example/egret/promo"
 	"egretlane.example/egret/relay"
 	"egretlane.example/egret/retry"
 	"egretlane.example/egret/store"
@@ -29,6 +29,9 @@
 	"egretlane.example/egret/vmlist"
 )
 
+// primaryKeys is the prefix of the store's keys with notes of promotions.
+const primaryKeys = "egretlane/primary/"
+
 // Bounds of tries again.
 const (
 	retryBase  = 10 * time.Millisecond
@@ -36,26 +39,6 @@
 	retryBurst = 50
 )
 
-// providers make the parts of a proxy.
-var providers = wire.NewSet(
-	newLogger,
-	newRegistry,
-	newLeaving,
-	newSealer,
-	newStore,
-	newKeeper,
-	newMesh,
-	newDialer,
-	newControl,
-	newHolder,
-	newLanes,
-	newDesk,
-	newCallers,
-	newPeerServer,
-	newOper,
-	assemble,
-)
-
 func newLogger(c *Config) *log.Logger {
 	return &log.Logger{
 		Level: c.LogLevel,
@@ -185,6 +168,18 @@
 	}
 }
 
+func newWatcher(m *peer.Mesh, c *member.Control, s *store.Client, r *prometheus.Registry, l *log.Logger) *promo.Watcher {
+	return &promo.Watcher{
+		Peers:       m,
+		Control:     c,
+		Ask:         m.Witness,
+		Store:       s,
+		StorePrefix: primaryKeys,
+		Registry:    r,
+		Log:         l,
+	}
+}
+
 func newLanes(m *peer.Mesh, h *lane.Holder, r *prometheus.Registry) *relay.Lanes {
 	return &relay.Lanes{
 		Peers:     m,
--- a/egretlane/proxy.go
+++ b/egretlane/proxy.go
@@ -17,6 +17,7 @@
 	"egretlane.example/egret/member"
 	"egretlane.example/egret/oper"
 	"egretlane.example/egret/peer"
+	"egretlane.example/egret/promo"
 	"egretlane.example/egret/spans"
 	"egretlane.example/egret/store"
 	"egretlane.example/egret/table"
@@ -34,6 +35,7 @@
 	mesh    *peer.Mesh
 	control *member.Control
 	holder  *lane.Holder
+	watcher *promo.Watcher
 	desk    *entry.Desk
 	callers *caller.Server
 	peers   *grpc.Server
@@ -102,6 +104,7 @@
 		p.mesh.Run,
 		p.keeper.Run,
 		p.holder.Run,
+		p.watcher.Run,
 		p.oper.Run,
 	} {
 		g.Go(func() error {
--- a/egretlane/wire.go
+++ b/egretlane/wire.go
@@ -11,3 +11,24 @@
 	wire.Build(providers)
 	return nil, nil
 }
+
+// providers make the parts of a proxy.
+var providers = wire.NewSet(
+	newLogger,
+	newRegistry,
+	newLeaving,
+	newSealer,
+	newStore,
+	newKeeper,
+	newMesh,
+	newDialer,
+	newControl,
+	newHolder,
+	newWatcher,
+	newLanes,
+	newDesk,
+	newCallers,
+	newPeerServer,
+	newOper,
+	assemble,
+)
--- a/egretlane/wire_gen.go
+++ b/egretlane/wire_gen.go
@@ -6,6 +6,10 @@
 
 package main
 
+import (
+	"github.com/google/wire"
+)
+
 // Injectors from wire.go:
 
 // newProxy puts a proxy together. Its code is generated from the providers.
@@ -24,6 +28,7 @@
 	}
 	control := newControl(dialer)
 	holder := newHolder(mesh, control, dialer, registry, logger)
+	watcher := newWatcher(mesh, control, client, registry, logger)
 	lanes := newLanes(mesh, holder, registry)
 	sealer, err := newSealer(c)
 	if err != nil {
@@ -37,6 +42,29 @@
 	grpcServer := newPeerServer(mesh, holder)
 	atomicBool := newLeaving()
 	operServer := newOper(c, mesh, keeper, registry, atomicBool)
-	proxy := assemble(c, logger, client, keeper, mesh, control, holder, desk, server, grpcServer, operServer, atomicBool)
+	proxy := assemble(c, logger, client, keeper, mesh, control, holder, watcher, desk, server, grpcServer, operServer, atomicBool)
 	return proxy, nil
 }
+
+// wire.go:
+
+// providers make the parts of a proxy.
+var providers = wire.NewSet(
+	newLogger,
+	newRegistry,
+	newLeaving,
+	newSealer,
+	newStore,
+	newKeeper,
+	newMesh,
+	newDialer,
+	newControl,
+	newHolder,
+	newWatcher,
+	newLanes,
+	newDesk,
+	newCallers,
+	newPeerServer,
+	newOper,
+	assemble,
+)
