lane: leave the connections of leaving proxies alone

Ruled out: a longer wait, since then a dead proxy's slots stay taken longer. Change: only dead and unknown proxies count as gone, and an absence ends when the proxy is back.

--- a/lane/holder.go
+++ b/lane/holder.go
@@ -27,7 +27,8 @@
 // It is ready once its fields are set and Run has begun. It implements egret.Lanes for its own
 // lanes only, and egret.Positions for all groups.
 type Holder struct {
-	// Peers says which proxies live and what the tables are.
+	// Peers says which proxies live and what the tables are. If it has a method Nodes() that lists
+	// all known proxies, then leaving ones are told from dead ones by it.
 	Peers egret.Peers
 
 	// Control asks members for their state.
@@ -171,6 +172,9 @@
 	live := h.Peers.Live()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.absent.any() {
+		h.absent.update(h.present())
+	}
 	if tables != nil && !h.owned.same(tables, live) {
 		h.owned = ownership{
 			tables: tables,
--- a/lane/slots.go
+++ b/lane/slots.go
@@ -374,18 +374,35 @@
 	l.dispatch(time.Now())
 }
 
-// gone returns the locks of proxies that have not been live for a while.
+// lister is what Peers may offer besides: all proxies that are known, whatever their state.
+type lister interface {
+	Nodes() []egret.Node
+}
+
+// present returns the proxies that may still run statements. A leaving one is not live any more but
+// finishes what it has.
+func (h *Holder) present() []egret.Node {
+	l, found := h.Peers.(lister)
+	if !found {
+		return h.Peers.Live()
+	}
+	return slices.DeleteFunc(slices.Clone(l.Nodes()), func(n egret.Node) bool {
+		return n.State == egret.NodeDead
+	})
+}
+
+// gone returns the locks of proxies that have been dead or unknown for a while.
 func (h *Holder) gone(locks []member.Lock) []member.Lock {
 	now := time.Now()
-	live := h.Peers.Live()
+	present := h.present()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	found := []member.Lock{}
 	for _, l := range locks {
-		alive := slices.ContainsFunc(live, func(n egret.Node) bool {
+		there := slices.ContainsFunc(present, func(n egret.Node) bool {
 			return n.ID == l.NodeID
 		})
-		if h.absent.longGone(l.NodeID, alive || l.NodeID == h.Peers.Self().ID, now) {
+		if h.absent.longGone(l.NodeID, there || l.NodeID == h.Peers.Self().ID, now) {
 			found = append(found, l)
 		}
 	}
