egretctl: status over TLS, of all known proxies, and with the store's revision

An operator with nine proxies had to name each, saw revisions without the one that they should have, and got no answer from proxies that ask for certificates. A proxy of another deployment's revision shows now beside the store's. The store's silence is shown and is no failure, since proxies go on without it.

--- a/egretctl/main_test.go
+++ b/egretctl/main_test.go
@@ -225,10 +225,25 @@
 }
 
 func TestStatus(t *testing.T) {
-	c := &console{}
-	one := serveStatus(t, sampleStatus("proxy-1", 2))
+	s := &fakeStore{
+		revision: 4,
+	}
+	c := newConsole(t, s)
 	two := serveStatus(t, sampleStatus("proxy-2", 1))
+	known := sampleStatus("proxy-1", 2)
+	known.Nodes = []*peerpb.Node{{
+		Id:      "proxy-2",
+		Address: two,
+		State:   "alive",
+	}, {
+		Id:      "proxy-3",
+		Address: "127.0.0.1:1",
+		State:   "dead",
+	}}
+	one := serveStatus(t, known)
 	c.run(t, exitOK, "status", "--proxy", one, "--proxy", two)
+	c.run(t, exitOK, "status", "--proxy", one, "--all")
+	s.down = true
 	c.run(t, exitOK, "status", "--proxy", one, "--format", "json")
 	c.run(t, exitPartial, "status", "--proxy", one, "--proxy", "127.0.0.1:1")
 	c.run(t, exitFailed, "status", "--proxy", "127.0.0.1:1")
--- a/egretctl/print.go
+++ b/egretctl/print.go
@@ -15,6 +15,8 @@
 // print writes the overview as tables.
 func (o *overview) print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	o.printStore(w)
+	fmt.Fprintln(w)
 	o.printProxies(w)
 	fmt.Fprintln(w)
 	o.printGroups(w)
@@ -23,6 +25,14 @@
 	return errors.Trace(w.Flush())
 }
 
+func (o *overview) printStore(w io.Writer) {
+	if o.Store.Error != "" {
+		fmt.Fprintf(w, "store: no answer: %s\n", o.Store.Error)
+		return
+	}
+	fmt.Fprintf(w, "store: revision %d\n", o.Store.Revision)
+}
+
 func (o *overview) printProxies(w io.Writer) {
 	fmt.Fprintln(w, "PROXY\tID\tREGION\tFAILURE-DOMAIN\tSTATE\tREVISION\tREADY\tSESSIONS\tPEERS")
 	for _, p := range o.Proxies {
--- a/egretctl/status.go
+++ b/egretctl/status.go
@@ -1,20 +1,13 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"sync"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-
-	"egretlane.example/egret"
-	"egretlane.example/egret/internal/peerpb"
 )
 
 func statusCommand() *cli.Command {
@@ -28,19 +21,36 @@
 				Value:   []string{"127.0.0.1:6442"},
 				Sources: cli.EnvVars("EGRETCTL_PROXY"),
 			},
+			&cli.BoolFlag{
+				Name:  "all",
+				Usage: "ask also the proxies that these know",
+			},
 			&cli.StringFlag{
 				Name:  "format",
 				Usage: "`FORMAT`: table or json",
 				Value: "table",
 			},
+			&cli.StringFlag{
+				Name:    "peer-tls-cert",
+				Usage:   "`FILE` of the certificate shown to proxies",
+				Sources: cli.EnvVars("EGRETCTL_PEER_TLS_CERT"),
+			},
+			&cli.StringFlag{
+				Name:    "peer-tls-key",
+				Usage:   "`FILE` of the certificate's key",
+				Sources: cli.EnvVars("EGRETCTL_PEER_TLS_KEY"),
+			},
+			&cli.StringFlag{
+				Name:    "peer-tls-ca",
+				Usage:   "`FILE` of the authorities of proxies' certificates; no encryption if not set",
+				Sources: cli.EnvVars("EGRETCTL_PEER_TLS_CA"),
+			},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return commandError(showStatus(ctx, c))
-		},
+		Action: withSession(showStatus),
 	}
 }
 
-func showStatus(ctx context.Context, c *cli.Command) error {
+func showStatus(ctx context.Context, c *cli.Command, s *session) error {
 	addresses, err := proxyAddresses(c)
 	if err != nil {
 		return err
@@ -49,289 +59,68 @@
 	if format != "table" && format != "json" {
 		return usageError("--format: %q is neither table nor json", format)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
-	defer cancel()
-	o := summarize(ask(ctx, addresses))
-	if format == "json" {
-		e := json.NewEncoder(c.Root().Writer)
-		e.SetIndent("", "  ")
-		err = e.Encode(o)
-	} else {
-		err = o.print(c.Root().Writer)
+	credentials, err := peerCredentials(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	a := &asker{
+		credentials: credentials,
+		all:         c.Bool("all"),
 	}
+	o := gather(ctx, s, a, addresses)
+	err = o.write(c, format)
 	if err != nil {
 		return errors.Annotate(err, "printing the status")
 	}
 	return o.err()
 }
 
-func proxyAddresses(c *cli.Command) ([]netip.AddrPort, error) {
-	addresses := []netip.AddrPort{}
-	for _, text := range c.StringSlice("proxy") {
-		a, err := netip.ParseAddrPort(text)
-		if err != nil {
-			return nil, usageError("--proxy: %v", err)
-		}
-		addresses = append(addresses, a)
-	}
-	return addresses, nil
-}
-
-// answer is what a proxy said, or why it didn't.
-type answer struct {
-	// address is that of the proxy.
-	address netip.AddrPort
-
-	// reply is nil if there is an err.
-	reply *peerpb.StatusReply
-
-	// err says why there is no reply.
-	err error
-}
-
-// ask asks all proxies at once. The answers are in the order of the addresses.
-func ask(ctx context.Context, addresses []netip.AddrPort) []answer {
-	answers := make([]answer, len(addresses))
+// gather asks the proxies and the store at once.
+func gather(ctx context.Context, s *session, a *asker, addresses []netip.AddrPort) *overview {
+	stored := storeRow{}
 	w := sync.WaitGroup{}
-	for i, a := range addresses {
-		w.Go(func() {
-			r, err := askOne(ctx, a)
-			answers[i] = answer{
-				address: a,
-				reply:   r,
-				err:     err,
-			}
-		})
-	}
+	w.Go(func() {
+		stored = askStore(ctx, s)
+	})
+	o := summarize(a.ask(ctx, addresses))
 	w.Wait()
-	return answers
+	o.Store = stored
+	return o
 }
 
-func askOne(ctx context.Context, a netip.AddrPort) (*peerpb.StatusReply, error) {
-	conn, err := grpc.NewClient("passthrough:///"+a.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer func() {
-		_ = conn.Close()
-	}()
+// askStore returns the revision of the store's tables. The proxies go on without the store, so that
+// a failure is shown and is no error.
+func askStore(ctx context.Context, s *session) storeRow {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	r, err := peerpb.NewPeerClient(conn).Status(ctx, &peerpb.StatusRequest{})
-	return r, errors.Trace(err)
-}
-
-// overview is the state of the proxies that were asked, and of the groups as they see them.
-type overview struct {
-	// Proxies are in the order in which they were asked.
-	Proxies []proxyRow `json:"proxies"`
-
-	// Groups are ordered by name.
-	Groups []groupRow `json:"groups"`
-
-	// Members are ordered by group, name and lane. While a lane moves, a member may have two.
-	Members []memberRow `json:"members"`
-}
-
-// proxyRow is the state of a proxy.
-type proxyRow struct {
-	Address  netip.AddrPort `json:"address"`
-	ID       string         `json:"id"`
-	Region   string         `json:"region"`
-	Domain   string         `json:"failure-domain"`
-	State    string         `json:"state"`
-	Revision uint64         `json:"revision"`
-	Ready    bool           `json:"ready"`
-	Sessions uint32         `json:"sessions"`
-
-	// Peers is how many other proxies it holds to be live.
-	Peers int `json:"peers"`
-
-	// Error says why the proxy gave no status. All else but Address is empty then.
-	Error string `json:"error,omitempty"`
-}
-
-// groupRow is the newest fact about a group.
-type groupRow struct {
-	Group   string `json:"group"`
-	Term    uint64 `json:"term"`
-	Primary string `json:"primary"`
-
-	// Behind lists the proxies that hold an older fact, or none.
-	Behind []string `json:"behind,omitempty"`
-}
-
-// memberRow is a lane's view of its member.
-type memberRow struct {
-	Member      string   `json:"member"`
-	Group       string   `json:"group"`
-	Lane        string   `json:"lane"`
-	Reached     bool     `json:"reached"`
-	Role        string   `json:"role"`
-	Granted     uint64   `json:"granted"`
-	Received    position `json:"received"`
-	Applied     position `json:"applied"`
-	LagMillis   *float64 `json:"lag-ms"`
-	Connections uint32   `json:"connections"`
-	Running     uint32   `json:"running"`
-	Queued      uint32   `json:"queued"`
-}
-
-// position is an egret.Position in its JSON form.
-type position struct {
-	Term   uint64 `json:"term"`
-	Offset uint64 `json:"offset"`
-}
-
-// summarize joins what the proxies said.
-func summarize(answers []answer) *overview {
-	o := &overview{
-		Proxies: []proxyRow{},
-		Groups:  []groupRow{},
-		Members: []memberRow{},
-	}
-	for _, a := range answers {
-		o.Proxies = append(o.Proxies, toProxy(a))
-		for _, l := range a.reply.GetLanes() {
-			o.Members = append(o.Members, toMember(a.reply.GetSelf().GetId(), l))
-		}
-		for _, f := range a.reply.GetFacts() {
-			o.addFact(f)
-		}
-	}
-	for i := range o.Groups {
-		o.Groups[i].Behind = behind(answers, o.Groups[i])
-	}
-	slices.SortFunc(o.Groups, func(a, b groupRow) int {
-		return cmp.Compare(a.Group, b.Group)
-	})
-	slices.SortFunc(o.Members, func(a, b memberRow) int {
-		return cmp.Or(
-			cmp.Compare(a.Group, b.Group),
-			cmp.Compare(a.Member, b.Member),
-			cmp.Compare(a.Lane, b.Lane),
-		)
-	})
-	return o
-}
-
-// addFact keeps the fact with the highest term for its group.
-func (o *overview) addFact(f *peerpb.Fact) {
-	row := groupRow{
-		Group:   f.GetGroup(),
-		Term:    f.GetTerm(),
-		Primary: f.GetPrimary(),
-	}
-	i := slices.IndexFunc(o.Groups, func(g groupRow) bool {
-		return g.Group == row.Group
-	})
-	if i < 0 {
-		o.Groups = append(o.Groups, row)
-		return
-	}
-	if row.Term > o.Groups[i].Term {
-		o.Groups[i] = row
-	}
-}
-
-// behind returns the IDs of the proxies that don't hold the fact.
-func behind(answers []answer, g groupRow) []string {
-	ids := []string(nil)
-	for _, a := range answers {
-		if a.err != nil {
-			continue
-		}
-		holds := slices.ContainsFunc(a.reply.GetFacts(), func(f *peerpb.Fact) bool {
-			return f.GetGroup() == g.Group && f.GetTerm() == g.Term
-		})
-		if !holds {
-			ids = append(ids, a.reply.GetSelf().GetId())
-		}
-	}
-	return ids
-}
-
-func toProxy(a answer) proxyRow {
-	if a.err != nil {
-		return proxyRow{
-			Address: a.address,
-			Error:   a.err.Error(),
-		}
-	}
-	n := a.reply.GetSelf()
-	return proxyRow{
-		Address:  a.address,
-		ID:       n.GetId(),
-		Region:   n.GetRegion(),
-		Domain:   n.GetDomain(),
-		State:    n.GetState(),
-		Revision: a.reply.GetRevision(),
-		Ready:    a.reply.GetReady(),
-		Sessions: a.reply.GetSessions(),
-		Peers:    livePeers(a.reply),
-	}
-}
-
-// livePeers counts the other proxies that aren't dead.
-func livePeers(r *peerpb.StatusReply) int {
-	n := 0
-	for _, p := range r.GetNodes() {
-		if p.GetId() != r.GetSelf().GetId() && p.GetState() != string(egret.NodeDead) {
-			n++
+	v, err := s.editor.Store.Get(ctx, s.editor.Key)
+	if err != nil {
+		return storeRow{
+			Error: err.Error(),
 		}
 	}
-	return n
-}
-
-func toMember(lane string, l *peerpb.LaneStatus) memberRow {
-	return memberRow{
-		Member:  l.GetMember(),
-		Group:   l.GetGroup(),
-		Lane:    lane,
-		Reached: l.GetReached(),
-		Role:    l.GetRole(),
-		Granted: l.GetGranted(),
-		Received: position{
-			Term:   l.GetReceivedTerm(),
-			Offset: l.GetReceivedOffset(),
-		},
-		Applied: position{
-			Term:   l.GetAppliedTerm(),
-			Offset: l.GetAppliedOffset(),
-		},
-		LagMillis:   lagMillis(l.GetLagMicros()),
-		Connections: l.GetConnections(),
-		Running:     l.GetRunning(),
-		Queued:      l.GetQueued(),
+	return storeRow{
+		Revision: v.Revision,
 	}
 }
 
-// lagMillis returns nil for a lag that isn't known.
-func lagMillis(micros int64) *float64 {
-	if micros < 0 {
-		return nil
+func (o *overview) write(c *cli.Command, format string) error {
+	if format == "table" {
+		return o.print(c.Root().Writer)
 	}
-	lag := float64(micros) / 1000
-	return &lag
+	e := json.NewEncoder(c.Root().Writer)
+	e.SetIndent("", "  ")
+	return errors.Trace(e.Encode(o))
 }
 
-// err returns the error for proxies that gave no status, or nil.
-func (o *overview) err() error {
-	silent := 0
-	for _, p := range o.Proxies {
-		if p.Error != "" {
-			silent++
+func proxyAddresses(c *cli.Command) ([]netip.AddrPort, error) {
+	addresses := []netip.AddrPort{}
+	for _, text := range c.StringSlice("proxy") {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, usageError("--proxy: %v", err)
 		}
+		addresses = append(addresses, a)
 	}
-	if silent == 0 {
-		return nil
-	}
-	status := exitPartial
-	if silent == len(o.Proxies) {
-		status = exitFailed
-	}
-	return &exitError{
-		status: status,
-		err:    errors.Errorf("%d of %d proxies gave no status", silent, len(o.Proxies)),
-	}
+	return addresses, nil
 }
