--- /dev/null
+++ b/egretlab/pgsim/limit_test.go
@@ -0,0 +1,224 @@
+package pgsim
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"egretlane.example/egret/egretlab/pgsim/core"
+)
+
+// start runs a statement beside the test and returns where its code arrives.
+func start(c *pgx.Conn, sql string) <-chan string {
+	done := make(chan string, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), sql)
+		done <- code(err)
+	}()
+	return done
+}
+
+// wait returns the code of a statement that runs beside the test.
+func wait(t *testing.T, what string, done <-chan string) string {
+	t.Helper()
+	select {
+	case c := <-done:
+		return c
+	case <-time.After(patience):
+		t.Fatalf("not in %s: %s", patience, what)
+		return ""
+	}
+}
+
+// TestCancel cancels a statement that sleeps, one that waits for a slot and one that waits for a
+// row's lock. Each connection goes on.
+func TestCancel(t *testing.T) {
+	b := startBox(t, "member-1", netip.AddrPort{}, func(s *Server) {
+		s.Slots = 1
+	})
+	holder, c := b.connect(t, ""), b.connect(t, "")
+	cancel := func(what string, done <-chan string) {
+		t.Helper()
+		for {
+			if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case got := <-done:
+				if got != core.CodeCanceled {
+					t.Errorf("%s: got %q, want %q", what, got, core.CodeCanceled)
+				}
+				return
+			case <-time.After(10 * time.Millisecond):
+				// The statement had not started yet.
+			}
+		}
+	}
+	cancel("sleeping", start(c, "SELECT pg_sleep(60)"))
+	sleeps := start(holder, "SELECT pg_sleep(60)")
+	eventually(t, "the slot is held", b.running(1))
+	cancel("waiting for a slot", start(c, "SELECT count(*) FROM orders"))
+	if err := holder.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the sleep's end", sleeps)
+	exec(t, holder, "BEGIN")
+	exec(t, holder, "INSERT INTO orders VALUES ('a', '1')")
+	cancel("waiting for a lock", start(c, "INSERT INTO orders VALUES ('a', '2')"))
+	if got := get[int64](t, c, "SELECT count(*) FROM orders"); got != 0 {
+		t.Errorf("count %d", got)
+	}
+}
+
+// TestGoneClients ends connections in the middle of things: what they held is free at once.
+func TestGoneClients(t *testing.T) {
+	b := startBox(t, "member-1", netip.AddrPort{}, nil)
+	admin := b.connect(t, "")
+	for _, sql := range []string{
+		"SELECT 1",
+		"SELECT pg_sleep(60)",
+		"INSERT INTO orders VALUES ('held', '2')",
+	} {
+		exec(t, admin, "BEGIN")
+		exec(t, admin, "INSERT INTO orders VALUES ('held', '1')")
+		c := b.connect(t, "")
+		exec(t, c, "BEGIN")
+		exec(t, c, "SELECT pg_try_advisory_lock(7)")
+		exec(t, c, "INSERT INTO orders VALUES ('a', '1')")
+		before := b.asked()
+		gone := start(c, sql)
+		eventually(t, sql+": it has arrived", func() bool {
+			return b.asked() > before
+		})
+		c.PgConn().Conn().Close()
+		eventually(t, sql+": the connection is gone", func() bool {
+			return b.directory.Connections() == 1 && len(b.locks.List()) == 0 && b.running(0)()
+		})
+		exec(t, admin, "INSERT INTO orders VALUES ('a', '2')")
+		exec(t, admin, "ROLLBACK")
+		wait(t, "the client's own end", gone)
+	}
+	c := b.connect(t, "")
+	if !get[bool](t, admin, "SELECT pg_terminate_backend($1)", c.PgConn().PID()) {
+		t.Error("no such connection")
+	}
+	wantCode(t, c, "57P01", "SELECT 1")
+	if get[bool](t, admin, "SELECT pg_terminate_backend(9999)") {
+		t.Error("a connection that isn't there was ended")
+	}
+}
+
+// asked returns how many statements have arrived.
+func (b *box) asked() uint64 {
+	n := uint64(0)
+	for _, o := range b.recorder.Totals() {
+		n += o.Count
+	}
+	return n
+}
+
+// TestSlots runs more statements than there are slots, and lets a lock's holder through that needs
+// the slot of the one that waits for the lock.
+func TestSlots(t *testing.T) {
+	b := startBox(t, "member-1", netip.AddrPort{}, nil)
+	var sleeps []<-chan string
+	for range 6 {
+		sleeps = append(sleeps, start(b.connect(t, ""), "SELECT pg_sleep(0.02)"))
+	}
+	for _, s := range sleeps {
+		if got := wait(t, "a sleep's end", s); got != "" {
+			t.Errorf("sleep: %s", got)
+		}
+	}
+	if _, highest := b.host.Platform.Slots.Usage(); highest != 2 {
+		t.Errorf("%d statements at once, want 2", highest)
+	}
+	holder := b.connect(t, "")
+	exec(t, holder, "BEGIN")
+	exec(t, holder, "INSERT INTO orders VALUES ('a', '1')")
+	var waiters []<-chan string
+	for range 3 {
+		waiters = append(waiters, start(b.connect(t, ""), "INSERT INTO orders VALUES ('a', '2')"))
+	}
+	exec(t, holder, "UPDATE orders SET item = '3' WHERE id = 'a'")
+	exec(t, holder, "COMMIT")
+	for _, w := range waiters {
+		if got := wait(t, "a waiter's end", w); got != core.CodeDuplicate {
+			t.Errorf("second insert: got %q, want %q", got, core.CodeDuplicate)
+		}
+	}
+}
+
+// TestConnectionLimit opens one connection too many. Platform functions need a connection too.
+func TestConnectionLimit(t *testing.T) {
+	b := startBox(t, "member-1", netip.AddrPort{}, func(s *Server) {
+		s.Connections = 2
+		s.ConnectCost = 20 * time.Millisecond
+	})
+	begun := time.Now()
+	c := b.connect(t, "")
+	if took := time.Since(begun); took < 20*time.Millisecond {
+		t.Errorf("connected in %s, want 20ms or more", took)
+	}
+	b.connect(t, "")
+	if _, err := b.tryConnect(""); code(err) != "53300" {
+		t.Errorf("third connection: %v", err)
+	}
+	c.Close(context.Background())
+	eventually(t, "there is room again", func() bool {
+		return b.directory.Connections() == 1
+	})
+	b.connect(t, "")
+	if _, highest, refused := b.directory.usage(); highest != 2 || refused != 1 {
+		t.Errorf("%d connections, %d refused", highest, refused)
+	}
+}
+
+// TestSwitches checks what operators can ask of a member.
+func TestSwitches(t *testing.T) {
+	b := startBox(t, "member-1", netip.AddrPort{}, nil)
+	h := b.Handler()
+	post := func(path string) {
+		t.Helper()
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, nil))
+		if w.Code != http.StatusOK {
+			t.Errorf("%s: %d %s", path, w.Code, w.Body)
+		}
+	}
+	c := b.connect(t, "")
+	exec(t, c, "BEGIN")
+	exec(t, c, "INSERT INTO orders VALUES ('a', '1')")
+	post("/refuse?value=true")
+	wantCode(t, c, "57P03", "COMMIT")
+	exec(t, c, "ROLLBACK")
+	exec(t, c, "SELECT * FROM platform.status()")
+	post("/refuse?value=false")
+	if got := get[int64](t, c, "SELECT count(*) FROM orders"); got != 0 {
+		t.Errorf("%d rows of a refused commit", got)
+	}
+	post("/leaving?value=true")
+	post("/delay?duration=50ms")
+	begun := time.Now()
+	exec(t, c, "INSERT INTO orders VALUES ('a', '1')")
+	if took := time.Since(begun); took < 50*time.Millisecond {
+		t.Errorf("answered in %s, want 50ms or more", took)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/lag?duration=fast", nil))
+	if w.Code != http.StatusBadRequest {
+		t.Errorf("a broken duration: %d", w.Code)
+	}
+	for _, path := range []string{"/log", "/state", "/stats"} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		if w.Code != http.StatusOK || w.Body.Len() == 0 {
+			t.Errorf("%s: %d", path, w.Code)
+		}
+	}
+}
