lane, member: wait for floors without a slot

Cause: the check of the floor in the pipeline may wait in the member, and holds one of the lane's few slots meanwhile. Change: a read whose floor the member isn't known to have reached waits ahead of the queue, on a control connection that all such reads share. The check in the pipeline stays and decides. The waits for confirmations and for floors share one watch of a member. Conclusion: slots carry statements only.

--- a/lane/confirm.go
+++ b/lane/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -15,9 +14,6 @@
 
 	// awaitGrace is how much longer its answer may take.
 	awaitGrace = 500 * time.Millisecond
-
-	// awaitRetry is the time after an answer that decided nothing, or none.
-	awaitRetry = 50 * time.Millisecond
 )
 
 // confirm waits until a majority of the group has a write: the primary and as many others as make
@@ -48,9 +44,6 @@
 }
 
 // confirmer waits for the other members of a group to receive positions.
-//
-// Each member has one wait at a time, for the lowest position that anyone waits for. Its answer
-// tells how far the member has come and confirms all that it covers.
 type confirmer struct {
 	// ctx ends the waits.
 	ctx context.Context
@@ -58,7 +51,7 @@
 	// control asks the members.
 	control egret.Control
 
-	// mu guards the fields below and all writes that wait.
+	// mu guards replicas.
 	mu sync.Mutex
 
 	// replicas has one entry for each member that was asked.
@@ -67,22 +60,22 @@
 
 // replica is another member of the group.
 type replica struct {
-	member egret.Member
-
-	// known is the member's last state.
-	known egret.MemberState
+	// mu guards member.
+	mu sync.Mutex
 
-	// writes wait for the member.
-	writes []*write
+	member egret.Member
 
-	// asked says that a worker waits for the member.
-	asked bool
+	// watch waits for what the member receives.
+	watch watch
 }
 
 // write waits for a majority.
 type write struct {
 	position egret.Position
 
+	// mu guards the fields below.
+	mu sync.Mutex
+
 	// lacking is how many more members must confirm.
 	lacking int
 
@@ -105,115 +98,60 @@
 	if w.lacking == 0 {
 		return true
 	}
-	c.mu.Lock()
+	x := &wait{
+		position: p,
+		decide:   w.judge,
+	}
 	for _, m := range others {
-		c.add(m, w)
+		r := c.replica(m)
+		r.watch.add(x)
+		defer r.watch.remove(x)
 	}
-	c.mu.Unlock()
 	select {
 	case confirmed := <-w.ended:
 		return confirmed
 	case <-ctx.Done():
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range c.replicas {
-		r.remove(w)
-	}
-	return false
-}
-
-// add makes a write wait for a member. The caller has mu.
-func (c *confirmer) add(m egret.Member, w *write) {
-	r := c.replica(m)
-	if w.judge(r.known) {
-		return
-	}
-	r.writes = append(r.writes, w)
-	if !r.asked {
-		r.asked = true
-		go c.serve(r)
+		return false
 	}
 }
 
+// replica returns the entry of a member, with the member's present address.
 func (c *confirmer) replica(m egret.Member) *replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, r := range c.replicas {
 		if r.member.Name == m.Name {
+			r.mu.Lock()
 			r.member = m
+			r.mu.Unlock()
 			return r
 		}
 	}
 	r := &replica{
 		member: m,
 	}
+	r.watch.ctx = c.ctx
+	r.watch.ask = func(ctx context.Context, p egret.Position) (egret.MemberState, error) {
+		return c.ask(ctx, r, p)
+	}
 	c.replicas = append(c.replicas, r)
 	return r
 }
 
-// serve asks a member until no write waits for it.
-func (c *confirmer) serve(r *replica) {
-	for {
-		m, lowest, waits := c.next(r)
-		if !waits {
-			return
-		}
-		ctx, cancel := context.WithTimeout(c.ctx, awaitWait+awaitGrace)
-		state, err := c.control.Await(ctx, m, lowest, awaitWait)
-		cancel()
-		if err != nil {
-			c.pause()
-			continue
-		}
-		if !c.take(r, state) {
-			c.pause()
-		}
-	}
-}
-
-// next returns the lowest position that a write waits for. It returns false if none waits, and the
-// worker has to end then.
-func (c *confirmer) next(r *replica) (egret.Member, egret.Position, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(r.writes) == 0 || c.ctx.Err() != nil {
-		r.asked = false
-		return r.member, egret.Position{}, false
-	}
-	lowest := slices.MinFunc(r.writes, func(a, b *write) int {
-		return a.position.Compare(b.position)
-	})
-	return r.member, lowest.position, true
-}
-
-// take notes a member's state and judges the writes that wait for it. It returns false if the state
-// decides about none: a member that follows no primary of the term yet answers at once.
-func (c *confirmer) take(r *replica, state egret.MemberState) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r.known = state
-	waiting := len(r.writes)
-	r.writes = slices.DeleteFunc(r.writes, func(w *write) bool {
-		return w.judge(state)
-	})
-	return len(r.writes) < waiting
-}
-
-func (c *confirmer) pause() {
-	select {
-	case <-time.After(awaitRetry):
-	case <-c.ctx.Done():
-	}
-}
-
-func (r *replica) remove(w *write) {
-	r.writes = slices.DeleteFunc(r.writes, func(o *write) bool {
-		return o == w
-	})
+func (c *confirmer) ask(ctx context.Context, r *replica, p egret.Position) (egret.MemberState, error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitWait+awaitGrace)
+	defer cancel()
+	r.mu.Lock()
+	m := r.member
+	r.mu.Unlock()
+	return c.control.Await(ctx, m, p, awaitWait)
 }
 
 // judge reports whether a member's state decides about the write: the member has it, or has granted
-// a later term and may never get it. The caller has the confirmer's lock.
+// a later term and may never get it.
 func (w *write) judge(state egret.MemberState) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	switch {
 	case confirms(state, w.position):
 		w.lacking--
--- a/lane/doc.go
+++ b/lane/doc.go
@@ -17,5 +17,6 @@
 //	go h.Run(ctx)
 //	t, err := h.Begin(ctx, opening)
 //
-// Locks are taken in this order: Holder.mu, lane.mu, transaction.mu, confirmer.mu.
+// Locks are taken in this order: Holder.mu, lane.mu, confirmer.mu, watch.mu, write.mu. The
+// locks of transactions and replicas are taken alone or last.
 package lane
--- a/lane/holder.go
+++ b/lane/holder.go
@@ -31,7 +31,8 @@
 	// all known proxies, then leaving ones are told from dead ones by it.
 	Peers egret.Peers
 
-	// Control asks members for their state.
+	// Control asks members for their state. If it has a method Require, as member.Control, then
+	// waits for floors take no slots.
 	Control egret.Control
 
 	// Dialer opens connections for statements and slot locks.
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -33,6 +33,9 @@
 	// confirmer asks the other members for confirmations.
 	confirmer *confirmer
 
+	// floors waits for what the member's reads see.
+	floors watch
+
 	// mu guards the fields below.
 	mu sync.Mutex
 
@@ -86,6 +89,8 @@
 			control: h.Control,
 		},
 	}
+	l.floors.ctx = ctx
+	l.floors.ask = l.askFloor
 	l.configure(s)
 	return l
 }
--- a/lane/transact.go
+++ b/lane/transact.go
@@ -117,6 +117,11 @@
 // precheck refuses what the lane knows to fail. For transactions that may write it returns the term
 // that the primary had granted before the batch was sent.
 func (t *transaction) precheck(ctx context.Context) (uint64, *egret.Failure) {
+	if !t.begun {
+		if f := t.lane.awaitFloor(ctx, t.opening); f != nil {
+			return 0, f
+		}
+	}
 	if t.opening.ReadOnly {
 		return 0, t.lane.tooOld(t.opening, t.begun)
 	}
--- a/member/control.go
+++ b/member/control.go
@@ -18,9 +18,8 @@
 
 // Control implements egret.Control on kept connections.
 //
-// Each member has at most two: one for waits, so that they don't hold up the rest. A connection
-// that gave no answer in time is closed, and the next call opens a new one. Lock order: a link's
-// lock is taken without mu.
+// Each member has at most one for each use. A connection that gave no answer in time is closed, and
+// the next call opens a new one. Lock order: a link's lock is taken without mu.
 type Control struct {
 	// Dialer opens the connections.
 	Dialer *Dialer
@@ -37,9 +36,23 @@
 // linkKey tells links apart.
 type linkKey struct {
 	address netip.AddrPort
-	waits   bool
+	use     use
 }
 
+// use says what a link is for. Questions that the member may wait with don't hold up the others.
+type use int
+
+const (
+	// useState is for questions that are answered at once.
+	useState use = iota
+
+	// useAwait is for waits for the member's log.
+	useAwait
+
+	// useRequire is for waits for what the member's reads see.
+	useRequire
+)
+
 // link is a kept connection.
 type link struct {
 	// lock has one element while the link is in use. It guards the fields below.
@@ -57,6 +70,7 @@
 func (c *Control) Status(ctx context.Context, m egret.Member) (egret.MemberState, error) {
 	return c.call(ctx, m, request{
 		query:      StatusQuery,
+		use:        useState,
 		idempotent: true,
 	})
 }
@@ -65,6 +79,7 @@
 func (c *Control) Fence(ctx context.Context, m egret.Member, term uint64) (egret.MemberState, error) {
 	return c.call(ctx, m, request{
 		query: fmt.Sprintf("SELECT * FROM platform.fence(%d)", term),
+		use:   useState,
 	})
 }
 
@@ -72,6 +87,7 @@
 func (c *Control) Promote(ctx context.Context, m egret.Member, term uint64) (egret.MemberState, error) {
 	return c.call(ctx, m, request{
 		query:      fmt.Sprintf("SELECT * FROM platform.promote(%d)", term),
+		use:        useState,
 		idempotent: true,
 	})
 }
@@ -80,6 +96,7 @@
 func (c *Control) Follow(ctx context.Context, m egret.Member, term uint64, primary netip.AddrPort) (egret.MemberState, error) {
 	return c.call(ctx, m, request{
 		query:      fmt.Sprintf("SELECT * FROM platform.follow(%d, '%s')", term, primary),
+		use:        useState,
 		idempotent: true,
 	})
 }
@@ -88,7 +105,17 @@
 func (c *Control) Await(ctx context.Context, m egret.Member, p egret.Position, wait time.Duration) (egret.MemberState, error) {
 	return c.call(ctx, m, request{
 		query: fmt.Sprintf("SELECT * FROM platform.await(%d, %d, %d)", p.Term, p.Offset, wait.Milliseconds()),
-		waits: true,
+		use:   useAwait,
+	})
+}
+
+// Require returns the member's state when its reads see the position, or fails with CodeFloor after
+// wait.
+func (c *Control) Require(ctx context.Context, m egret.Member, p egret.Position, wait time.Duration) (egret.MemberState, error) {
+	query := fmt.Sprintf("SELECT * FROM platform.require(%d, %d, %d); %s", p.Term, p.Offset, wait.Milliseconds(), StatusQuery)
+	return c.call(ctx, m, request{
+		query: query,
+		use:   useRequire,
 	})
 }
 
@@ -112,14 +139,14 @@
 	// idempotent allows a second try on a new connection.
 	idempotent bool
 
-	// waits says that the answer may take long.
-	waits bool
+	// use is the kind of link.
+	use use
 }
 
 func (c *Control) call(ctx context.Context, m egret.Member, r request) (egret.MemberState, error) {
 	l := c.link(linkKey{
 		address: m.Address,
-		waits:   r.waits,
+		use:     r.use,
 	})
 	select {
 	case l.lock <- struct{}{}:
@@ -173,10 +200,10 @@
 	if err != nil {
 		return egret.MemberState{}, err
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 {
+	if len(results) == 0 || len(results[len(results)-1].Rows) != 1 {
 		return egret.MemberState{}, errors.NotValidf("answer to %q", query)
 	}
-	return ParseState(results[0].Rows[0], time.Now())
+	return ParseState(results[len(results)-1].Rows[0], time.Now())
 }
 
 // drop closes the connection. The caller has the link's lock.
--- a/member/state.go
+++ b/member/state.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// IsFloor reports whether an error says that a member has not reached a floor in time.
+func IsFloor(err error) bool {
+	var refusal *pgconn.PgError
+	return errors.As(err, &refusal) && refusal.Code == CodeFloor
+}
+
 // termError returns the refusal that err holds as a *egret.TermError, else err itself.
 func termError(m egret.Member, err error) error {
 	var refusal *pgconn.PgError
