--- a/egretlab/store.go
+++ b/egretlab/store.go
@@ -53,20 +53,20 @@
 }
 
 func runStore(ctx context.Context, c *cli.Command) error {
-	listener, err := listen(ctx, c.String("listen"))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	operator, err := listen(ctx, c.String("operator-listen"))
-	if err != nil {
-		return errors.Trace(err)
-	}
 	s := &kvsim.Server{
-		Listener:        listener,
-		Operator:        operator,
 		WritesPerSecond: c.Int("writes-per-second"),
 		ReadsPerSecond:  c.Int("reads-per-second"),
 	}
+	faults := findings{}
+	var err error
+	s.Listener, err = listen(ctx, c.String("listen"))
+	faults.add("listen", err)
+	s.Operator, err = listen(ctx, c.String("operator-listen"))
+	faults.add("operator-listen", err)
+	err = faults.err()
+	if err != nil {
+		return errors.Trace(err)
+	}
 	return errors.Trace(s.Run(ctx))
 }
 
