lane: no new work for leaving members

Cause: the platform's word that a member leaves did not reach the lane. Change: Holder.Leaving gives it besides the tables and the member's own word. A leaving primary takes transactions for 2 s more, so that orders go on until another member is promoted.

--- a/lane/beat.go
+++ b/lane/beat.go
@@ -45,14 +45,16 @@
 	}
 	l.sampleMember(ctx)
 	asks.Wait()
+	l.tend(time.Now())
+}
+
+// tend drops connections that are unused for long, and refuses what waits in vain.
+func (l *lane) tend(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dropIdle(time.Now().Add(-idleLimit), closedIdle)
-	switch {
-	case l.unreachable():
-		l.refuse(l.queue.Fresh(), l.noMember())
-	case l.state.Leaving || l.settings.member.Leaving:
-		l.refuse(l.queue.Fresh(), l.refusal(time.Now()))
+	l.dropIdle(now.Add(-idleLimit), closedIdle)
+	if f := l.refusal(now); f != nil {
+		l.refuse(l.queue.Fresh(), f)
 	}
 	l.gauge()
 }
--- a/lane/holder.go
+++ b/lane/holder.go
@@ -38,6 +38,10 @@
 	// Dialer opens connections for statements and slot locks.
 	Dialer *member.Dialer
 
+	// Leaving reports whether the platform said that a member leaves, or is nil. The tables and the
+	// member's own word count without it.
+	Leaving func(member string) bool
+
 	// Metrics counts what the lanes do.
 	Metrics *Metrics
 
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -13,6 +13,9 @@
 	// handoverWait is how long a lane that has a new owner takes new transactions.
 	handoverWait = 2 * time.Second
 
+	// leavingWait is how long a leaving primary takes new transactions.
+	leavingWait = 2 * time.Second
+
 	// missedBeats is how many heartbeats in a row a member may miss before requests are refused.
 	missedBeats = 2
 )
@@ -63,6 +66,9 @@
 	// handover is when the lane got a new owner. It is zero while this proxy owns it.
 	handover time.Time
 
+	// leavingSince is when the member was first said to leave. It is zero while it stays.
+	leavingSince time.Time
+
 	// state is the member's last known state.
 	state egret.MemberState
 
@@ -188,7 +194,7 @@
 	switch {
 	case l.handedOver(now):
 		return l.noLane()
-	case l.settings.member.Leaving || l.state.Leaving:
+	case l.left(now):
 		return notRun(egret.ReasonLeaving, "member %s is leaving", l.name)
 	case l.unreachable():
 		return l.noMember()
@@ -197,6 +203,20 @@
 	}
 }
 
+// left reports whether the member gets no new work because it leaves. A primary goes on for a
+// moment, until another member is promoted.
+func (l *lane) left(now time.Time) bool {
+	leaving := l.settings.member.Leaving || l.state.Leaving
+	if !leaving && (l.holder.Leaving == nil || !l.holder.Leaving(l.name)) {
+		l.leavingSince = time.Time{}
+		return false
+	}
+	if l.leavingSince.IsZero() {
+		l.leavingSince = now
+	}
+	return l.state.Role != egret.RolePrimary || now.Sub(l.leavingSince) > leavingWait
+}
+
 func (l *lane) unreachable() bool {
 	return l.held == 0 && l.missed >= missedBeats
 }
