egretlane, peer: leaving backend servers are known to lanes and watchers

Cause: the platform's list reached no lane. Change: the Notice call between proxies, leave.Scout and leave.Board wired in; replicas that say they leave are not ranked.

--- a/egretlane/assemble.go
+++ b/egretlane/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/phuslu/log"
 	"google.golang.org/grpc"
@@ -11,6 +12,7 @@
 	"egretlane.example/egret/entry"
 	"egretlane.example/egret/internal/peerpb"
 	"egretlane.example/egret/lane"
+	"egretlane.example/egret/leave"
 	"egretlane.example/egret/member"
 	"egretlane.example/egret/oper"
 	"egretlane.example/egret/peer"
@@ -31,6 +33,8 @@
 	k *table.Keeper,
 	m *peer.Mesh,
 	control *member.Control,
+	board *leave.Board,
+	scout *leave.Scout,
 	h *lane.Holder,
 	w *promo.Watcher,
 	d *entry.Desk,
@@ -49,6 +53,9 @@
 		return cancelHere(d, process, secret)
 	}
 	m.OnWitness = w.Witness
+	m.OnNotice = func(name string, leaving bool) {
+		board.Note(name, leaving, time.Now())
+	}
 	m.Sessions = d.Sessions
 	m.Lanes = func() []*peerpb.LaneStatus {
 		return laneStatus(h.Status())
@@ -60,6 +67,7 @@
 		keeper:  k,
 		mesh:    m,
 		control: control,
+		scout:   scout,
 		holder:  h,
 		watcher: w,
 		desk:    d,
--- a/egretlane/providers.go
+++ b/egretlane/providers.go
@@ -17,6 +17,7 @@
 	"egretlane.example/egret/entry"
 	"egretlane.example/egret/internal/lanepb"
 	"egretlane.example/egret/lane"
+	"egretlane.example/egret/leave"
 	"egretlane.example/egret/member"
 	"egretlane.example/egret/oper"
 	"egretlane.example/egret/peer"
@@ -158,23 +159,54 @@
 	}
 }
 
-func newHolder(m *peer.Mesh, c *member.Control, d *member.Dialer, r *prometheus.Registry, l *log.Logger) *lane.Holder {
+// newBoard holds what the platform's list says of leaving members.
+func newBoard() *leave.Board {
+	return &leave.Board{}
+}
+
+// newScout returns nil if there is no list.
+func newScout(c *Config, m *peer.Mesh, b *leave.Board) *leave.Scout {
+	if c.VMList == "" {
+		return nil
+	}
+	return &leave.Scout{
+		List: &vmlist.Client{
+			URL: c.VMList,
+		},
+		Peers: m,
+		Active: func() bool {
+			return watchesStore(m)
+		},
+		Tell:  m.TellLeaving,
+		Board: b,
+	}
+}
+
+func newHolder(m *peer.Mesh, c *member.Control, d *member.Dialer, b *leave.Board, r *prometheus.Registry, l *log.Logger) *lane.Holder {
 	return &lane.Holder{
 		Peers:   m,
 		Control: c,
 		Dialer:  d,
+		Leaving: leavingNow(b),
 		Metrics: lane.NewMetrics(r),
 		Log:     l,
 	}
 }
 
-func newWatcher(m *peer.Mesh, c *member.Control, s *store.Client, r *prometheus.Registry, l *log.Logger) *promo.Watcher {
+func leavingNow(b *leave.Board) func(member string) bool {
+	return func(member string) bool {
+		return b.Leaving(member, time.Now())
+	}
+}
+
+func newWatcher(m *peer.Mesh, c *member.Control, s *store.Client, b *leave.Board, r *prometheus.Registry, l *log.Logger) *promo.Watcher {
 	return &promo.Watcher{
 		Peers:       m,
 		Control:     c,
 		Ask:         m.Witness,
 		Store:       s,
 		StorePrefix: primaryKeys,
+		Leaving:     leavingNow(b),
 		Registry:    r,
 		Log:         l,
 	}
--- a/egretlane/proxy.go
+++ b/egretlane/proxy.go
@@ -14,6 +14,7 @@
 	"egretlane.example/egret/caller"
 	"egretlane.example/egret/entry"
 	"egretlane.example/egret/lane"
+	"egretlane.example/egret/leave"
 	"egretlane.example/egret/member"
 	"egretlane.example/egret/oper"
 	"egretlane.example/egret/peer"
@@ -34,6 +35,7 @@
 	keeper  *table.Keeper
 	mesh    *peer.Mesh
 	control *member.Control
+	scout   *leave.Scout
 	holder  *lane.Holder
 	watcher *promo.Watcher
 	desk    *entry.Desk
@@ -100,13 +102,17 @@
 		}
 		return errors.Annotate(err, "peers' port")
 	})
-	for _, run := range []func(context.Context) error{
+	parts := []func(context.Context) error{
 		p.mesh.Run,
 		p.keeper.Run,
 		p.holder.Run,
 		p.watcher.Run,
 		p.oper.Run,
-	} {
+	}
+	if p.scout != nil {
+		parts = append(parts, p.scout.Run)
+	}
+	for _, run := range parts {
 		g.Go(func() error {
 			return run(ctx)
 		})
--- a/egretlane/wire.go
+++ b/egretlane/wire.go
@@ -23,6 +23,8 @@
 	newMesh,
 	newDialer,
 	newControl,
+	newBoard,
+	newScout,
 	newHolder,
 	newWatcher,
 	newLanes,
--- a/egretlane/wire_gen.go
+++ b/egretlane/wire_gen.go
@@ -27,8 +27,10 @@
 		return nil, err
 	}
 	control := newControl(dialer)
-	holder := newHolder(mesh, control, dialer, registry, logger)
-	watcher := newWatcher(mesh, control, client, registry, logger)
+	board := newBoard()
+	scout := newScout(c, mesh, board)
+	holder := newHolder(mesh, control, dialer, board, registry, logger)
+	watcher := newWatcher(mesh, control, client, board, registry, logger)
 	lanes := newLanes(mesh, holder, registry)
 	sealer, err := newSealer(c)
 	if err != nil {
@@ -42,7 +44,7 @@
 	grpcServer := newPeerServer(mesh, holder)
 	atomicBool := newLeaving()
 	operServer := newOper(c, mesh, keeper, registry, atomicBool)
-	proxy := assemble(c, logger, client, keeper, mesh, control, holder, watcher, desk, server, grpcServer, operServer, atomicBool)
+	proxy := assemble(c, logger, client, keeper, mesh, control, board, scout, holder, watcher, desk, server, grpcServer, operServer, atomicBool)
 	return proxy, nil
 }
 
@@ -59,6 +61,8 @@
 	newMesh,
 	newDialer,
 	newControl,
+	newBoard,
+	newScout,
 	newHolder,
 	newWatcher,
 	newLanes,
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -80,6 +80,9 @@
 	// OnWitness asks a member of a group for its state, for another proxy.
 	OnWitness func(ctx context.Context, group string, member string) (egret.MemberState, error)
 
+	// OnNotice takes a note that a member is leaving, or no longer. It may be nil.
+	OnNotice func(member string, leaving bool)
+
 	// Sessions returns the number of callers' sessions, for operators. It may be nil.
 	Sessions func() int
 
--- /dev/null
+++ b/peer/notice.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/internal/peerpb"
+)
+
+// TellLeaving tells another proxy that a member is leaving, or no longer.
+func (m *Mesh) TellLeaving(ctx context.Context, n egret.Node, member string, leaving bool) error {
+	m.open()
+	cc, err := m.pool.Conn(n.Address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = peerpb.NewPeerClient(cc).Notice(ctx, &peerpb.NoticeRequest{
+		Member:  member,
+		Leaving: leaving,
+	})
+	return errors.Annotatef(err, "notice to proxy %s", n.ID)
+}
+
+// Notice takes a note about a member.
+func (s *server) Notice(_ context.Context, r *peerpb.NoticeRequest) (*peerpb.NoticeReply, error) {
+	if s.mesh.OnNotice != nil {
+		s.mesh.OnNotice(r.GetMember(), r.GetLeaving())
+	}
+	return &peerpb.NoticeReply{}, nil
+}
--- a/route/rank.go
+++ b/route/rank.go
@@ -42,7 +42,7 @@
 func Rank(candidates []Candidate, primary string, r Reader) []Candidate {
 	kept := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if c.Member.Leaving || c.Member.Name == primary || r.cut(c) {
+		if c.Member.Leaving || c.Load.State.Leaving || c.Member.Name == primary || r.cut(c) {
 			continue
 		}
 		kept = append(kept, c)
