egretlane: ready once the first lanes are open, lanes handed over at shutdown

Cause: readiness came with the tables, up to 100 ms ahead of the lanes, so early reads fell to the primary. Ruled out: a fixed delay (too short for slow members, too long for others).

--- a/egretlane/providers.go
+++ b/egretlane/providers.go
@@ -279,12 +279,20 @@
 	return s
 }
 
-func newOper(c *Config, m *peer.Mesh, k *table.Keeper, r *prometheus.Registry, leaving *atomic.Bool) *oper.Server {
+func newReadiness(m *peer.Mesh, k *table.Keeper, h *lane.Holder, leaving *atomic.Bool) *readiness {
+	return &readiness{
+		mesh:    m,
+		keeper:  k,
+		holder:  h,
+		leaving: leaving,
+		start:   time.Now(),
+	}
+}
+
+func newOper(c *Config, m *peer.Mesh, ready *readiness, r *prometheus.Registry) *oper.Server {
 	return &oper.Server{
-		Listen: c.Operators,
-		Ready: func() bool {
-			return !leaving.Load() && m.Ready() && k.Now() != nil
-		},
+		Listen:   c.Operators,
+		Ready:    ready.ready,
 		Gatherer: r,
 		Status:   m.State,
 		Profile:  c.Profile,
--- a/egretlane/proxy.go
+++ b/egretlane/proxy.go
@@ -134,6 +134,9 @@
 	if err := p.callers.Drain(grace); err != nil {
 		p.logger.Warn().Err(err).Msg("callers cut")
 	}
+	if err := p.holder.Drain(grace); err != nil {
+		p.logger.Warn().Err(err).Msg("lanes cut")
+	}
 	p.endLanes(grace)
 }
 
--- a/egretlane/wire.go
+++ b/egretlane/wire.go
@@ -31,6 +31,7 @@
 	newDesk,
 	newCallers,
 	newPeerServer,
+	newReadiness,
 	newOper,
 	assemble,
 )
--- a/egretlane/wire_gen.go
+++ b/egretlane/wire_gen.go
@@ -43,7 +43,8 @@
 	}
 	grpcServer := newPeerServer(mesh, holder)
 	atomicBool := newLeaving()
-	operServer := newOper(c, mesh, keeper, registry, atomicBool)
+	mainReadiness := newReadiness(mesh, keeper, holder, atomicBool)
+	operServer := newOper(c, mesh, mainReadiness, registry)
 	proxy := assemble(c, logger, client, keeper, mesh, control, board, scout, holder, watcher, desk, server, grpcServer, operServer, atomicBool)
 	return proxy, nil
 }
@@ -69,6 +70,7 @@
 	newDesk,
 	newCallers,
 	newPeerServer,
+	newReadiness,
 	newOper,
 	assemble,
 )
