--- a/caller/batch.go
+++ b/caller/batch.go
@@ -19,6 +19,9 @@
 // ErrTerminated says that the caller has closed its session.
 const ErrTerminated = errors.ConstError("the caller has closed its session")
 
+// ErrTooLarge says that a message is over the size limit. The connection can't go on behind it.
+const ErrTooLarge = errors.ConstError("the message is over the size limit")
+
 // Incoming is a batch as the entry needs it.
 type Incoming struct {
 	// Batch is what goes to the lane.
@@ -51,7 +54,7 @@
 	for {
 		m, err := c.backend.Receive()
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, readError(err)
 		}
 		if _, ok := m.(*pgproto3.Terminate); ok {
 			return nil, errors.Trace(ErrTerminated)
@@ -62,6 +65,15 @@
 	}
 }
 
+// readError gives an oversized message its own cause.
+func readError(err error) error {
+	var tooLarge *pgproto3.ExceededMaxBodyLenErr
+	if errors.As(err, &tooLarge) {
+		return errors.Annotatef(ErrTooLarge, "%d bytes where %d are allowed", tooLarge.ActualBodyLen, tooLarge.MaxExpectedBodyLen)
+	}
+	return errors.Trace(err)
+}
+
 // Settle drops the prepared statements of a batch that the database did not take: those beyond the
 // number of ParseComplete messages in its answer.
 func (c *Conn) Settle(in *Incoming, parseCompletes int) {
--- /dev/null
+++ b/entry/fake_test.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/caller"
+	"egretlane.example/egret/retry"
+	"egretlane.example/egret/token"
+)
+
+// fakePeers has one group with a primary and two replicas.
+type fakePeers struct {
+	mu   sync.Mutex
+	fact egret.GroupFact
+}
+
+func (p *fakePeers) Self() egret.Node {
+	return egret.Node{
+		ID:     "proxy-1",
+		Region: "lombardia",
+	}
+}
+
+func (p *fakePeers) Live() []egret.Node {
+	return []egret.Node{p.Self()}
+}
+
+func (p *fakePeers) Primary(string) (egret.GroupFact, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fact, p.fact.Term > 0
+}
+
+func (p *fakePeers) Announce(f egret.GroupFact) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.Term > p.fact.Term {
+		p.fact = f
+	}
+}
+
+func (p *fakePeers) TablesNow() *egret.Tables {
+	member := func(name string) egret.Member {
+		return egret.Member{
+			Name:   name,
+			Region: "lombardia",
+		}
+	}
+	return &egret.Tables{
+		Revision: 1,
+		Routes: []egret.Route{{
+			Name:     "all",
+			Caller:   "workshop",
+			Database: "catalogo-db",
+			Pool:     "catalogo",
+			Budget:   2 * time.Second,
+			Replicas: true,
+		}},
+		Pools: []egret.Pool{{
+			Name: "catalogo",
+			Groups: []egret.Group{{
+				Name:    "g",
+				Members: []egret.Member{member("m1"), member("m2"), member("m3")},
+			}},
+		}},
+	}
+}
+
+// fakeLanes answers each batch with what answer returns.
+type fakeLanes struct {
+	mu sync.Mutex
+
+	// answer decides the n-th try, counted from 1.
+	answer func(n int, o egret.Opening) (egret.Completion, error)
+
+	// openings has the openings of all tries.
+	openings []egret.Opening
+
+	// confirms counts look-ups of positions.
+	confirms int
+
+	// leader is what Load says.
+	leader egret.GroupFact
+}
+
+func (l *fakeLanes) Begin(_ context.Context, o egret.Opening) (egret.Transaction, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.openings = append(l.openings, o)
+	return &fakeTransaction{
+		lanes:   l,
+		opening: o,
+		try:     len(l.openings),
+	}, nil
+}
+
+func (l *fakeLanes) Load(_ context.Context, member string) (egret.Load, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load := egret.Load{
+		State: egret.MemberState{
+			Member: member,
+			Role:   egret.RoleReplica,
+		},
+	}
+	if member == l.leader.Primary {
+		load.State.Role = egret.RolePrimary
+		load.State.Granted = l.leader.Term
+	}
+	return load, nil
+}
+
+func (l *fakeLanes) Confirm(context.Context, string) (egret.Position, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirms++
+	return egret.Position{
+		Term:   1,
+		Offset: 40,
+	}, nil
+}
+
+func (l *fakeLanes) tries() []egret.Opening {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]egret.Opening(nil), l.openings...)
+}
+
+type fakeTransaction struct {
+	lanes   *fakeLanes
+	opening egret.Opening
+	try     int
+}
+
+func (t *fakeTransaction) Exchange(_ context.Context, _ egret.Batch, sink func([]byte) error) (egret.Completion, error) {
+	done, err := t.lanes.answer(t.try, t.opening)
+	if err != nil {
+		return egret.Completion{}, err
+	}
+	m, err := (&pgproto3.CommandComplete{
+		CommandTag: []byte("OK"),
+	}).Encode(nil)
+	if err != nil {
+		return egret.Completion{}, err
+	}
+	return done, sink(m)
+}
+
+func (t *fakeTransaction) Cancel() {}
+
+func (t *fakeTransaction) Close() {}
+
+// trial is a desk that serves callers on loopback.
+type trial struct {
+	lanes  *fakeLanes
+	peers  *fakePeers
+	server *caller.Server
+	desk   *Desk
+	addr   netip.AddrPort
+}
+
+func startTrial(t *testing.T, answer func(n int, o egret.Opening) (egret.Completion, error)) *trial {
+	t.Helper()
+	r := prometheus.NewRegistry()
+	l := &fakeLanes{
+		answer: answer,
+	}
+	p := &fakePeers{
+		fact: egret.GroupFact{
+			Group:   "g",
+			Term:    1,
+			Primary: "m1",
+		},
+	}
+	d := &Desk{
+		Peers:     p,
+		Lanes:     l,
+		Positions: l,
+		Sealer: &token.Sealer{
+			Keys: [][]byte{[]byte("0123456789abcdef")},
+		},
+		Backoff: retry.Backoff{
+			Base: time.Millisecond,
+			Cap:  2 * time.Millisecond,
+		},
+		Ratio: &retry.Ratio{
+			Part:  0.1,
+			Burst: 10,
+		},
+		ReplicaWait:     time.Millisecond,
+		TransactionIdle: time.Minute,
+		Metrics:         NewMetrics(r),
+	}
+	s := &caller.Server{
+		Listen:         freeAddress(t),
+		StatementLimit: 1 << 16,
+		SessionLimit:   10,
+		Handler:        d,
+		Metrics:        caller.NewMetrics(r),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		if err := s.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	return &trial{
+		lanes:  l,
+		peers:  p,
+		server: s,
+		desk:   d,
+		addr:   s.Listen,
+	}
+}
+
+func (tr *trial) connect(t *testing.T, tok string) *pgconn.PgConn {
+	t.Helper()
+	c, err := pgconn.ParseConfig("host=127.0.0.1 user=workshop dbname=catalogo-db sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Port = tr.addr.Port()
+	if tok != "" {
+		c.RuntimeParams[caller.TokenParameter] = tok
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		conn, err := pgconn.ConnectConfig(context.Background(), c)
+		if err == nil {
+			t.Cleanup(func() {
+				conn.Close(context.Background())
+			})
+			return conn
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+	}
+}
--- a/entry/session.go
+++ b/entry/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"strings"
 	"sync"
 	"time"
 
@@ -118,20 +117,15 @@
 		s.conn.FailFatal("57P01", "the proxy is shutting down: connect again")
 	case errors.Is(err, caller.ErrIdle):
 		s.conn.FailFatal("25P03", "the transaction was idle for too long and is rolled back")
+	case errors.Is(err, caller.ErrTooLarge):
+		s.conn.FailFatal(egret.CodeTooLarge, err.Error()+": the connection ends")
 	case errors.Is(err, caller.ErrTerminated):
 	default:
 		// A broken message or a caller that has gone. The latter doesn't see this.
-		s.conn.FailFatal(codeOfRead(err), "the connection ends: "+errors.Cause(err).Error())
+		s.conn.FailFatal(egret.CodeProtocol, "the connection ends: "+errors.Cause(err).Error())
 	}
 }
 
-func codeOfRead(err error) string {
-	if strings.Contains(err.Error(), "body length") {
-		return egret.CodeTooLarge
-	}
-	return egret.CodeProtocol
-}
-
 // serve answers one batch.
 func (s *session) serve(ctx context.Context, in *caller.Incoming) {
 	if in.Refusal != nil {
