--- a/egretlab/pgsim/group_test.go
+++ b/egretlab/pgsim/group_test.go
@@ -5,14 +5,18 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/query"
+	"egretlane.example/egret/egretlab/pgsim/stats"
 )
 
 // state is the columns of a state row that the tests look at.
@@ -166,6 +170,36 @@
 	}
 	exec(t, one.connect(t, ""), "INSERT INTO orders VALUES ('b', '1')")
 	exec(t, two.connect(t, ""), "SELECT * FROM platform.require(1, 3, 10000)")
+	one.stop()
+	one = startBox(t, "member-1", elsewhere, keep(folders[0]))
+	if s := one.Member.State(); s.Received != at(1, 3) {
+		t.Errorf("primary after its second restart: %+v", s)
+	}
+}
+
+// TestCommitMeetsFence grants a term between the last write and the commit. The client isn't told
+// that the last statement is complete.
+func TestCommitMeetsFence(t *testing.T) {
+	b := startBox(t, "member-1", netip.AddrPort{}, nil)
+	f := b.raw(t)
+	f.Send(&pgproto3.Query{String: "INSERT INTO orders VALUES ('a', '1'); SELECT pg_sleep(0.1)"})
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the statement sleeps", func() bool {
+		return slices.ContainsFunc(b.recorder.Totals(), func(o stats.Total) bool {
+			return o.Command == query.FunctionSleep
+		})
+	})
+	if _, err := b.Member.Fence(2); err != nil {
+		t.Fatal(err)
+	}
+	if got := replies(t, f); !slices.Equal(got, []string{"C", "T", "", "E", "Z"}) {
+		t.Errorf("replies %q", got)
+	}
+	if n := b.Member.Orders(); n != 0 {
+		t.Errorf("%d rows of a transaction that met a fence", n)
+	}
 }
 
 // TestSilentUpstream cuts a replica's link without closing it. The replica finds out and connects
