pgsim: split the language into its statements, tokens and parser

Package query had 1,400 lines. It keeps the statements; scan cuts the text into tokens and parse reads them. The golden file of the parser is unchanged.

--- a/egretlab/pgsim/doc.go
+++ b/egretlab/pgsim/doc.go
@@ -9,6 +9,6 @@
 //	err := s.Run(ctx, listener)
 //
 // Below it, core is the member's state, walog its log and repl the replication. A client's session
-// is in sess: query reads the statements, exec runs them, plat has the platform's functions. The
-// packages codec, locks, slots, stats and vars serve these.
+// is in sess: scan and parse read the statements of query, exec runs them, plat has the platform's
+// functions. The packages codec, locks, slots, stats and vars serve these.
 package pgsim
--- a/egretlab/pgsim/query/control.go
+++ b/egretlab/pgsim/parse/control.go
@@ -1,26 +1,31 @@
-package query
+package parse
 
-import "strings"
+import (
+	"strings"
+
+	"egretlane.example/egret/egretlab/pgsim/query"
+	"egretlane.example/egret/egretlab/pgsim/scan"
+)
 
 const (
 	settingIsolation = "transaction_isolation"
 	settingTimeZone  = "timezone"
 )
 
-func (p *parser) start() (Node, error) {
+func (p *parser) start() (query.Node, error) {
 	if err := p.expectWord("transaction"); err != nil {
 		return nil, err
 	}
 	a, err := p.modes()
-	return &Begin{
+	return &query.Begin{
 		Start:  true,
 		Access: a,
 	}, err
 }
 
 // modes takes the modes of a transaction, with or without commas between them.
-func (p *parser) modes() (Access, error) {
-	access := AccessDefault
+func (p *parser) modes() (query.Access, error) {
+	access := query.AccessDefault
 	for {
 		switch {
 		case p.takeWord("read"):
@@ -45,11 +50,11 @@
 	}
 }
 
-func (p *parser) access() (Access, error) {
+func (p *parser) access() (query.Access, error) {
 	if p.takeWord("only") {
-		return AccessReadOnly, nil
+		return query.AccessReadOnly, nil
 	}
-	return AccessReadWrite, p.expectWord("write")
+	return query.AccessReadWrite, p.expectWord("write")
 }
 
 // isolation takes a level. The levels above read committed are refused, not weakened.
@@ -64,22 +69,22 @@
 		}
 		return p.expectWord("committed")
 	}
-	if t.shape != shapeWord || (t.text != "repeatable" && t.text != "serializable") {
+	if t.Shape != scan.Word || (t.Text != "repeatable" && t.Text != "serializable") {
 		return p.unexpected()
 	}
-	return &Error{
-		Code:     CodeUnsupported,
+	return &query.Error{
+		Code:     query.CodeUnsupported,
 		Message:  "this member has no isolation level above read committed",
-		Position: t.start + 1,
+		Position: t.Start + 1,
 	}
 }
 
-func (p *parser) set() (Node, error) {
-	s := &Set{}
+func (p *parser) set() (query.Node, error) {
+	s := &query.Set{}
 	switch {
 	case p.takeWord("transaction"):
 		a, err := p.modes()
-		return &SetAccess{
+		return &query.SetAccess{
 			Access: a,
 		}, err
 	case p.takeWord("local"):
@@ -109,7 +114,7 @@
 	return s, p.setValue(s)
 }
 
-func (p *parser) characteristics() (Node, error) {
+func (p *parser) characteristics() (query.Node, error) {
 	if err := p.expectWord("as"); err != nil {
 		return nil, err
 	}
@@ -117,14 +122,14 @@
 		return nil, err
 	}
 	a, err := p.modes()
-	return &SetAccess{
+	return &query.SetAccess{
 		Session: true,
 		Access:  a,
 	}, err
 }
 
 // setValue takes DEFAULT or a list of words, strings and numbers.
-func (p *parser) setValue(s *Set) error {
+func (p *parser) setValue(s *query.Set) error {
 	if p.takeWord("default") {
 		s.Default = true
 		return nil
@@ -132,9 +137,9 @@
 	var parts []string
 	for {
 		t := p.take()
-		switch t.shape {
-		case shapeWord, shapeQuoted, shapeString, shapeNumber:
-			parts = append(parts, t.text)
+		switch t.Shape {
+		case scan.Word, scan.Quoted, scan.String, scan.Number:
+			parts = append(parts, t.Text)
 		default:
 			p.back(t)
 			return p.unexpected()
@@ -146,8 +151,8 @@
 	}
 }
 
-func (p *parser) reset() (Node, error) {
-	s := &Set{
+func (p *parser) reset() (query.Node, error) {
+	s := &query.Set{
 		Default: true,
 		Reset:   true,
 	}
@@ -159,33 +164,33 @@
 	return s, err
 }
 
-func (p *parser) show() (Node, error) {
+func (p *parser) show() (query.Node, error) {
 	if p.takeWord("transaction") {
 		if err := p.expectWord("isolation"); err != nil {
 			return nil, err
 		}
-		return &Show{
+		return &query.Show{
 			Name: settingIsolation,
 		}, p.expectWord("level")
 	}
 	if p.takeWord("time") {
-		return &Show{
+		return &query.Show{
 			Name: settingTimeZone,
 		}, p.expectWord("zone")
 	}
 	name, err := p.name()
-	return &Show{
+	return &query.Show{
 		Name: strings.ToLower(name),
 	}, err
 }
 
-func (p *parser) deallocate() (Node, error) {
+func (p *parser) deallocate() (query.Node, error) {
 	p.takeAny("prepare")
 	if p.takeWord("all") {
-		return &Deallocate{}, nil
+		return &query.Deallocate{}, nil
 	}
 	name, err := p.name()
-	return &Deallocate{
+	return &query.Deallocate{
 		Name: name,
 	}, err
 }
--- a/egretlab/pgsim/query/data.go
+++ b/egretlab/pgsim/parse/data.go
@@ -1,18 +1,15 @@
-package query
+package parse
 
 import (
 	"fmt"
 	"slices"
 	"strings"
-)
 
-// The columns of the table.
-const (
-	ColumnID   = "id"
-	ColumnItem = "item"
+	"egretlane.example/egret/egretlab/pgsim/query"
+	"egretlane.example/egret/egretlab/pgsim/scan"
 )
 
-func (p *parser) insert() (Node, error) {
+func (p *parser) insert() (query.Node, error) {
 	if err := p.expectWord("into"); err != nil {
 		return nil, err
 	}
@@ -26,7 +23,7 @@
 	if err := p.expectWord("values"); err != nil {
 		return nil, err
 	}
-	n := &Insert{}
+	n := &query.Insert{}
 	for {
 		o, err := p.order(itemFirst)
 		if err != nil {
@@ -46,33 +43,33 @@
 	if !p.takeSymbol("(") {
 		return false, nil
 	}
-	at := p.peek().start
+	at := p.peek().Start
 	columns, err := p.columns()
 	if err != nil {
 		return false, err
 	}
 	if len(columns) != 2 || columns[0] == columns[1] {
-		return false, syntaxError(at, "an order needs its id and its item")
+		return false, query.Syntax(at, "an order needs its id and its item")
 	}
-	return columns[0] == ColumnItem, p.expectSymbol(")")
+	return columns[0] == query.ColumnItem, p.expectSymbol(")")
 }
 
-func (p *parser) order(itemFirst bool) (Order, error) {
+func (p *parser) order(itemFirst bool) (query.Order, error) {
 	if err := p.expectSymbol("("); err != nil {
-		return Order{}, err
+		return query.Order{}, err
 	}
-	first, err := p.value(TypeText)
+	first, err := p.value(query.TypeText)
 	if err != nil {
-		return Order{}, err
+		return query.Order{}, err
 	}
 	if err := p.expectSymbol(","); err != nil {
-		return Order{}, err
+		return query.Order{}, err
 	}
-	second, err := p.value(TypeText)
+	second, err := p.value(query.TypeText)
 	if err != nil {
-		return Order{}, err
+		return query.Order{}, err
 	}
-	o := Order{
+	o := query.Order{
 		ID:   first,
 		Item: second,
 	}
@@ -82,7 +79,7 @@
 	return o, p.expectSymbol(")")
 }
 
-func (p *parser) update() (Node, error) {
+func (p *parser) update() (query.Node, error) {
 	if err := p.table(); err != nil {
 		return nil, err
 	}
@@ -94,18 +91,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if c != ColumnItem {
-		return nil, &Error{
-			Code:     CodeUnsupported,
+	if c != query.ColumnItem {
+		return nil, &query.Error{
+			Code:     query.CodeUnsupported,
 			Message:  "this member doesn't change the id of an order",
-			Position: t.start + 1,
+			Position: t.Start + 1,
 		}
 	}
 	if err := p.expectSymbol("="); err != nil {
 		return nil, err
 	}
-	n := &Update{}
-	if n.Item, err = p.value(TypeText); err != nil {
+	n := &query.Update{}
+	if n.Item, err = p.value(query.TypeText); err != nil {
 		return nil, err
 	}
 	if n.Where, err = p.where(); err != nil {
@@ -115,14 +112,14 @@
 	return n, err
 }
 
-func (p *parser) delete() (Node, error) {
+func (p *parser) delete() (query.Node, error) {
 	if err := p.expectWord("from"); err != nil {
 		return nil, err
 	}
 	if err := p.table(); err != nil {
 		return nil, err
 	}
-	n := &Delete{}
+	n := &query.Delete{}
 	var err error
 	if n.Where, err = p.where(); err != nil {
 		return nil, err
@@ -132,12 +129,12 @@
 }
 
 // selection takes what follows SELECT: rows of the table, a function or a constant.
-func (p *parser) selection() (Node, error) {
+func (p *parser) selection() (query.Node, error) {
 	if p.takeSymbol("*") {
 		return p.star()
 	}
 	t := p.peek()
-	if t.shape != shapeWord && t.shape != shapeQuoted || slices.Contains([]string{"null", "true", "false"}, t.text) {
+	if t.Shape != scan.Word && t.Shape != scan.Quoted || slices.Contains([]string{"null", "true", "false"}, t.Text) {
 		return p.constant()
 	}
 	mark := p.at
@@ -152,7 +149,7 @@
 		if err := p.count(); err != nil {
 			return nil, err
 		}
-		return p.rows(&Select{
+		return p.rows(&query.Select{
 			Count: true,
 		})
 	}
@@ -161,13 +158,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.rows(&Select{
+	return p.rows(&query.Select{
 		Columns: columns,
 	})
 }
 
 // star takes what follows SELECT *: all columns of the table, or a function's rows.
-func (p *parser) star() (Node, error) {
+func (p *parser) star() (query.Node, error) {
 	mark := p.at
 	if err := p.expectWord("from"); err != nil {
 		return nil, err
@@ -181,8 +178,8 @@
 		return p.call(name, t, true)
 	}
 	p.at = mark
-	return p.rows(&Select{
-		Columns: []string{ColumnID, ColumnItem},
+	return p.rows(&query.Select{
+		Columns: []string{query.ColumnID, query.ColumnItem},
 	})
 }
 
@@ -196,7 +193,7 @@
 }
 
 // rows takes what follows the columns of a SELECT on the table.
-func (p *parser) rows(n *Select) (Node, error) {
+func (p *parser) rows(n *query.Select) (query.Node, error) {
 	if err := p.expectWord("from"); err != nil {
 		return nil, err
 	}
@@ -211,7 +208,7 @@
 		return nil, err
 	}
 	if p.takeWord("limit") {
-		v, err := p.value(TypeInt8)
+		v, err := p.value(query.TypeInt8)
 		n.Limit = &v
 		return n, err
 	}
@@ -230,11 +227,11 @@
 	if err != nil {
 		return false, err
 	}
-	if c != ColumnID {
-		return false, &Error{
-			Code:     CodeUnsupported,
+	if c != query.ColumnID {
+		return false, &query.Error{
+			Code:     query.CodeUnsupported,
 			Message:  "this member orders by id only",
-			Position: t.start + 1,
+			Position: t.Start + 1,
 		}
 	}
 	if p.takeWord("desc") {
@@ -244,42 +241,42 @@
 	return false, nil
 }
 
-func (p *parser) constant() (Node, error) {
+func (p *parser) constant() (query.Node, error) {
 	t := p.peek()
-	n := &Call{
+	n := &query.Call{
 		Column:   "?column?",
-		Constant: TypeText,
+		Constant: query.TypeText,
 	}
 	switch {
-	case t.shape == shapeNumber && strings.Contains(t.text, "."):
-		n.Constant = TypeFloat8
-	case t.shape == shapeNumber && len(t.text) < len("2147483647"):
-		n.Constant = TypeInt4
-	case t.shape == shapeNumber:
-		n.Constant = TypeInt8
-	case t.text == "true" && t.shape == shapeWord, t.text == "false" && t.shape == shapeWord:
-		n.Constant = TypeBool
-	}
-	v, err := p.value(TypeText)
+	case t.Shape == scan.Number && strings.Contains(t.Text, "."):
+		n.Constant = query.TypeFloat8
+	case t.Shape == scan.Number && len(t.Text) < len("2147483647"):
+		n.Constant = query.TypeInt4
+	case t.Shape == scan.Number:
+		n.Constant = query.TypeInt8
+	case t.Text == "true" && t.Shape == scan.Word, t.Text == "false" && t.Shape == scan.Word:
+		n.Constant = query.TypeBool
+	}
+	v, err := p.value(query.TypeText)
 	if err != nil {
 		return nil, err
 	}
-	n.Arguments = []Value{v}
+	n.Arguments = []query.Value{v}
 	return n, p.alias(n)
 }
 
 // call takes a function's arguments and its alias.
-func (p *parser) call(name string, at token, relation bool) (Node, error) {
+func (p *parser) call(name string, at scan.Token, relation bool) (query.Node, error) {
 	name = strings.TrimPrefix(strings.ToLower(name), "pg_catalog.")
-	f, found := findFunction(name)
+	f, found := query.FindFunction(name)
 	if !found || f.Relation && !relation {
-		return nil, &Error{
-			Code:     CodeNoFunction,
+		return nil, &query.Error{
+			Code:     query.CodeNoFunction,
 			Message:  fmt.Sprintf("function %s does not exist in this place", name),
-			Position: at.start + 1,
+			Position: at.Start + 1,
 		}
 	}
-	n := &Call{
+	n := &query.Call{
 		Function: f,
 		Column:   strings.TrimPrefix(name, "platform."),
 	}
@@ -301,7 +298,7 @@
 	return n, p.alias(n)
 }
 
-func (p *parser) alias(n *Call) error {
+func (p *parser) alias(n *query.Call) error {
 	if !p.takeWord("as") {
 		return nil
 	}
@@ -316,13 +313,13 @@
 	if err != nil {
 		return err
 	}
-	if strings.TrimPrefix(name, "public.") == Table {
+	if strings.TrimPrefix(name, "public.") == query.Table {
 		return nil
 	}
-	return &Error{
-		Code:     CodeNoTable,
+	return &query.Error{
+		Code:     query.CodeNoTable,
 		Message:  fmt.Sprintf("relation %q does not exist", name),
-		Position: t.start + 1,
+		Position: t.Start + 1,
 	}
 }
 
@@ -346,19 +343,19 @@
 	if err != nil {
 		return "", err
 	}
-	name = strings.TrimPrefix(name, Table+".")
-	if name == ColumnID || name == ColumnItem {
+	name = strings.TrimPrefix(name, query.Table+".")
+	if name == query.ColumnID || name == query.ColumnItem {
 		return name, nil
 	}
-	return "", &Error{
-		Code:     CodeNoColumn,
+	return "", &query.Error{
+		Code:     query.CodeNoColumn,
 		Message:  fmt.Sprintf("column %q does not exist", name),
-		Position: t.start + 1,
+		Position: t.Start + 1,
 	}
 }
 
 // where takes the one condition that is understood: an id that is equal to a value.
-func (p *parser) where() (*Value, error) {
+func (p *parser) where() (*query.Value, error) {
 	if !p.takeWord("where") {
 		return nil, nil
 	}
@@ -367,17 +364,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if c != ColumnID {
-		return nil, &Error{
-			Code:     CodeUnsupported,
+	if c != query.ColumnID {
+		return nil, &query.Error{
+			Code:     query.CodeUnsupported,
 			Message:  "this member looks up orders by id only",
-			Position: t.start + 1,
+			Position: t.Start + 1,
 		}
 	}
 	if err := p.expectSymbol("="); err != nil {
 		return nil, err
 	}
-	v, err := p.value(TypeText)
+	v, err := p.value(query.TypeText)
 	return &v, err
 }
 
@@ -386,7 +383,7 @@
 		return nil, nil
 	}
 	if p.takeSymbol("*") {
-		return []string{ColumnID, ColumnItem}, nil
+		return []string{query.ColumnID, query.ColumnItem}, nil
 	}
 	return p.columns()
 }
--- a/egretlab/pgsim/query/parse.go
+++ b/egretlab/pgsim/parse/parse.go
@@ -1,32 +1,32 @@
-package query
+package parse
 
 import (
 	"fmt"
 	"strconv"
 	"strings"
+
+	"egretlane.example/egret/egretlab/pgsim/query"
+	"egretlane.example/egret/egretlab/pgsim/scan"
 )
 
 // maxParameter is the highest number of a parameter in the protocol.
 const maxParameter = 65535
 
-// Parse reads all statements of a text. It returns none for a text without statements. An error is
-// an *Error.
-func Parse(source string) ([]Statement, error) {
-	l := lexer{
-		source: source,
-	}
-	tokens, err := l.tokens()
+// Statements reads all statements of a text. It returns none for a text without statements. An error
+// is a *query.Error.
+func Statements(source string) ([]query.Statement, error) {
+	tokens, err := scan.Tokens(source)
 	if err != nil {
 		return nil, err
 	}
 	p := parser{
 		tokens: tokens,
 	}
-	var all []Statement
+	var all []query.Statement
 	start := 0
-	for p.peek().shape != shapeEnd {
+	for p.peek().Shape != scan.End {
 		if p.takeSymbol(";") {
-			start = p.tokens[p.at-1].end
+			start = p.tokens[p.at-1].End
 			continue
 		}
 		p.parameters = nil
@@ -35,11 +35,11 @@
 			return nil, err
 		}
 		end := p.peek()
-		if end.shape != shapeEnd && !p.isSymbol(";") {
+		if end.Shape != scan.End && !p.isSymbol(";") {
 			return nil, p.unexpected()
 		}
-		all = append(all, Statement{
-			Text:       strings.TrimSpace(source[start:end.start]),
+		all = append(all, query.Statement{
+			Text:       strings.TrimSpace(source[start:end.Start]),
 			Node:       n,
 			Parameters: p.parameters,
 		})
@@ -49,34 +49,34 @@
 
 // parser reads tokens in order.
 type parser struct {
-	// tokens ends in one of shapeEnd.
-	tokens []token
+	// tokens ends in one of shape scan.End.
+	tokens []scan.Token
 
 	// at is the next token. It never passes the last.
 	at int
 
 	// parameters holds the types of the statement's parameters so far.
-	parameters []Type
+	parameters []query.Type
 }
 
-func (p *parser) statement() (Node, error) {
+func (p *parser) statement() (query.Node, error) {
 	switch {
 	case p.takeWord("begin"):
 		p.takeAny("work", "transaction")
 		a, err := p.modes()
-		return &Begin{
+		return &query.Begin{
 			Access: a,
 		}, err
 	case p.takeWord("start"):
 		return p.start()
 	case p.takeWord("commit"), p.takeWord("end"):
 		p.takeAny("work", "transaction")
-		return &End{
+		return &query.End{
 			Commit: true,
 		}, nil
 	case p.takeWord("rollback"), p.takeWord("abort"):
 		p.takeAny("work", "transaction")
-		return &End{}, nil
+		return &query.End{}, nil
 	case p.takeWord("set"):
 		return p.set()
 	case p.takeWord("reset"):
@@ -86,13 +86,13 @@
 	case p.takeWord("deallocate"):
 		return p.deallocate()
 	case p.takeWord("discard"):
-		return &Discard{}, p.expectWord("all")
+		return &query.Discard{}, p.expectWord("all")
 	default:
 		return p.data()
 	}
 }
 
-func (p *parser) data() (Node, error) {
+func (p *parser) data() (query.Node, error) {
 	switch {
 	case p.takeWord("insert"):
 		return p.insert()
@@ -104,23 +104,23 @@
 		return p.selection()
 	case p.isWord("savepoint"), p.isWord("release"), p.isWord("prepare"), p.isWord("lock"), p.isWord("copy"):
 		t := p.peek()
-		return nil, &Error{
-			Code:     CodeUnsupported,
-			Message:  fmt.Sprintf("%s is not supported by this member", strings.ToUpper(t.text)),
-			Position: t.start + 1,
+		return nil, &query.Error{
+			Code:     query.CodeUnsupported,
+			Message:  fmt.Sprintf("%s is not supported by this member", strings.ToUpper(t.Text)),
+			Position: t.Start + 1,
 		}
 	default:
 		return nil, p.unexpected()
 	}
 }
 
-func (p *parser) peek() token {
+func (p *parser) peek() scan.Token {
 	return p.tokens[p.at]
 }
 
-func (p *parser) take() token {
+func (p *parser) take() scan.Token {
 	t := p.tokens[p.at]
-	if t.shape != shapeEnd {
+	if t.Shape != scan.End {
 		p.at++
 	}
 	return t
@@ -128,12 +128,12 @@
 
 func (p *parser) isWord(w string) bool {
 	t := p.peek()
-	return t.shape == shapeWord && t.text == w
+	return t.Shape == scan.Word && t.Text == w
 }
 
 func (p *parser) isSymbol(s string) bool {
 	t := p.peek()
-	return t.shape == shapeSymbol && t.text == s
+	return t.Shape == scan.Symbol && t.Text == s
 }
 
 func (p *parser) takeWord(w string) bool {
@@ -178,41 +178,41 @@
 // name takes an identifier, with its schema if it has one.
 func (p *parser) name() (string, error) {
 	t := p.peek()
-	if t.shape != shapeWord && t.shape != shapeQuoted {
+	if t.Shape != scan.Word && t.Shape != scan.Quoted {
 		return "", p.unexpected()
 	}
 	p.at++
 	if !p.takeSymbol(".") {
-		return t.text, nil
+		return t.Text, nil
 	}
 	rest, err := p.name()
-	return t.text + "." + rest, err
+	return t.Text + "." + rest, err
 }
 
 // value takes a literal or a parameter, which is then of the given type.
-func (p *parser) value(wanted Type) (Value, error) {
+func (p *parser) value(wanted query.Type) (query.Value, error) {
 	t := p.take()
-	v := Value{
-		Text: t.text,
+	v := query.Value{
+		Text: t.Text,
 	}
 	switch {
-	case t.shape == shapeParameter:
-		n, err := strconv.Atoi(t.text)
+	case t.Shape == scan.Parameter:
+		n, err := strconv.Atoi(t.Text)
 		if err != nil || n == 0 || n > maxParameter {
-			return Value{}, syntaxError(t.start, "there is no parameter $"+t.text)
+			return query.Value{}, query.Syntax(t.Start, "there is no parameter $"+t.Text)
 		}
 		v.Parameter = n
-	case t.shape == shapeString, t.shape == shapeNumber:
-	case t.shape == shapeWord && t.text == "null":
+	case t.Shape == scan.String, t.Shape == scan.Number:
+	case t.Shape == scan.Word && t.Text == "null":
 		v.Null = true
-	case t.shape == shapeWord && (t.text == "true" || t.text == "false"):
+	case t.Shape == scan.Word && (t.Text == "true" || t.Text == "false"):
 	default:
 		p.back(t)
-		return Value{}, p.unexpected()
+		return query.Value{}, p.unexpected()
 	}
 	for p.takeSymbol("::") {
 		if _, err := p.name(); err != nil {
-			return Value{}, err
+			return query.Value{}, err
 		}
 	}
 	p.infer(v.Parameter, wanted)
@@ -220,36 +220,28 @@
 }
 
 // infer notes the type of a parameter. The first place that uses it decides.
-func (p *parser) infer(number int, wanted Type) {
+func (p *parser) infer(number int, wanted query.Type) {
 	if number == 0 {
 		return
 	}
 	for len(p.parameters) < number {
-		p.parameters = append(p.parameters, TypeUnknown)
+		p.parameters = append(p.parameters, query.TypeUnknown)
 	}
-	if p.parameters[number-1] == TypeUnknown {
+	if p.parameters[number-1] == query.TypeUnknown {
 		p.parameters[number-1] = wanted
 	}
 }
 
-func (p *parser) back(t token) {
-	if t.shape != shapeEnd {
+func (p *parser) back(t scan.Token) {
+	if t.Shape != scan.End {
 		p.at--
 	}
 }
 
 func (p *parser) unexpected() error {
 	t := p.peek()
-	if t.shape == shapeEnd {
-		return syntaxError(t.start, "syntax error at end of input")
-	}
-	return syntaxError(t.start, fmt.Sprintf("syntax error at or near %q", t.text))
-}
-
-func syntaxError(at int, message string) error {
-	return &Error{
-		Code:     CodeSyntax,
-		Message:  message,
-		Position: at + 1,
+	if t.Shape == scan.End {
+		return query.Syntax(t.Start, "syntax error at end of input")
 	}
+	return query.Syntax(t.Start, fmt.Sprintf("syntax error at or near %q", t.Text))
 }
--- a/egretlab/pgsim/query/parse_test.go
+++ b/egretlab/pgsim/parse/parse_test.go
@@ -1,4 +1,4 @@
-package query
+package parse
 
 import (
 	"encoding/json"
@@ -8,12 +8,14 @@
 	"os"
 	"strings"
 	"testing"
+
+	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
 var update = flag.Bool("update", false, "write the golden file")
 
-// TestParse reads the texts in testdata/texts, one on each line, and compares what comes of them.
-func TestParse(t *testing.T) {
+// TestStatements reads the texts in testdata/texts, one on each line, and compares what comes of them.
+func TestStatements(t *testing.T) {
 	texts, err := os.ReadFile("testdata/texts")
 	if err != nil {
 		t.Fatal(err)
@@ -21,8 +23,8 @@
 	var out strings.Builder
 	for _, text := range strings.Split(strings.TrimSuffix(string(texts), "\n"), "\n") {
 		fmt.Fprintf(&out, "%s\n", text)
-		all, err := Parse(text)
-		var e *Error
+		all, err := Statements(text)
+		var e *query.Error
 		if err != nil && !errors.As(err, &e) {
 			t.Errorf("%s: error of type %T", text, err)
 		}
@@ -51,8 +53,8 @@
 	}
 }
 
-// FuzzParse checks that no text makes the parser fail in another way than with an *Error.
-func FuzzParse(f *testing.F) {
+// FuzzStatements checks that no text makes the parser fail in another way than with an *query.Error.
+func FuzzStatements(f *testing.F) {
 	texts, err := os.ReadFile("testdata/texts")
 	if err != nil {
 		f.Fatal(err)
@@ -61,8 +63,8 @@
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		_, err := Parse(text)
-		var e *Error
+		_, err := Statements(text)
+		var e *query.Error
 		if err != nil && !errors.As(err, &e) {
 			t.Errorf("error of type %T", err)
 		}
--- a/egretlab/pgsim/query/doc.go
+++ b/egretlab/pgsim/query/doc.go
@@ -1,9 +1,10 @@
-// Package query reads the statements that a database member of the laboratory understands.
+// Package query has the statements that a database member of the laboratory understands.
 //
 // The language is a small part of PostgreSQL's: one table, transactions, settings and a few
-// functions. What doesn't belong to it is refused with an Error that carries the SQLSTATE.
+// functions. Package parse reads a text into Statements:
 //
-//	statements, err := query.Parse("BEGIN READ ONLY; SELECT item FROM orders WHERE id = $1")
+//	statements, err := parse.Statements("BEGIN READ ONLY; SELECT item FROM orders WHERE id = $1")
+//	access := statements[0].Node.(*query.Begin).Access
 //
-// Comments are skipped wherever they stand, and kept in the text of the statement that follows.
+// What doesn't belong to the language is an Error that carries the SQLSTATE.
 package query
--- a/egretlab/pgsim/query/function.go
+++ b/egretlab/pgsim/query/function.go
@@ -53,8 +53,8 @@
 	FunctionDatabase   = "current_database"
 )
 
-// findFunction returns the function with the name.
-func findFunction(name string) (*Function, bool) {
+// FindFunction returns the function with the name.
+func FindFunction(name string) (*Function, bool) {
 	position := []Type{TypeInt8, TypeInt8, TypeInt8}
 	switch name {
 	case FunctionStatus, FunctionPosition, FunctionLocks:
--- a/egretlab/pgsim/query/statement.go
+++ b/egretlab/pgsim/query/statement.go
@@ -5,6 +5,15 @@
 // Table is the name of the one table.
 const Table = "orders"
 
+// The columns of the table.
+const (
+	// ColumnID is the key.
+	ColumnID = "id"
+
+	// ColumnItem is the value.
+	ColumnItem = "item"
+)
+
 // Error is a fault in the text of a statement.
 type Error struct {
 	// Code is the SQLSTATE.
@@ -22,6 +31,15 @@
 	return fmt.Sprintf("%s at byte %d (SQLSTATE %s)", e.Message, e.Position, e.Code)
 }
 
+// Syntax returns the error of text that is not understood, at a byte counted from zero.
+func Syntax(at int, message string) error {
+	return &Error{
+		Code:     CodeSyntax,
+		Message:  message,
+		Position: at + 1,
+	}
+}
+
 // SQLSTATE codes of faults in the text.
 const (
 	// CodeSyntax is for text that is not understood.
--- a/egretlab/pgsim/query/lexer.go
+++ b/egretlab/pgsim/scan/scan.go
@@ -1,35 +1,62 @@
-package query
+// Package scan cuts the text of statements into tokens.
+//
+//	tokens, err := scan.Tokens("SELECT 1 -- a comment")
+//
+// Comments and white space stand between tokens and are passed over.
+package scan
 
 import (
 	"strings"
 	"unicode/utf8"
+
+	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
-// shape is what a token looks like.
-type shape int
+// Shape is what a token looks like.
+type Shape int
 
+// The shapes of tokens.
 const (
-	shapeEnd shape = iota
-	shapeWord
-	shapeQuoted
-	shapeString
-	shapeNumber
-	shapeParameter
-	shapeSymbol
+	// End follows the last token.
+	End Shape = iota
+
+	// Word is a keyword or a name, in lower case.
+	Word
+
+	// Quoted is a name in double quotes, without them.
+	Quoted
+
+	// String is a string, without its quotes.
+	String
+
+	// Number is a number.
+	Number
+
+	// Parameter is the digits of a parameter.
+	Parameter
+
+	// Symbol is any other character, or a double colon.
+	Symbol
 )
 
-// token is a piece of the text.
-type token struct {
-	// shape says how to read text.
-	shape shape
+// Token is a piece of the text.
+type Token struct {
+	// Shape says how to read Text.
+	Shape Shape
 
-	// text is the word in lower case, the string without its quotes, the number, the digits of a
-	// parameter, or the symbol.
-	text string
+	// Text is what the token stands for.
+	Text string
 
-	// start and end are where the token stands in the source.
-	start int
-	end   int
+	// Start and End are the bytes of the source that the token takes.
+	Start, End int
+}
+
+// Tokens returns the tokens of a source, with one of shape End last. An error is a *query.Error.
+func Tokens(source string) ([]Token, error) {
+	l := lexer{
+		source: source,
+	}
+	return l.tokens()
 }
 
 // lexer cuts a source into tokens.
@@ -41,51 +68,50 @@
 	at int
 }
 
-// tokens returns all tokens, with one of shapeEnd last.
-func (l *lexer) tokens() ([]token, error) {
-	var all []token
+func (l *lexer) tokens() ([]Token, error) {
+	var all []Token
 	for {
 		t, err := l.next()
 		if err != nil {
 			return nil, err
 		}
 		all = append(all, t)
-		if t.shape == shapeEnd {
+		if t.Shape == End {
 			return all, nil
 		}
 	}
 }
 
-func (l *lexer) next() (token, error) {
+func (l *lexer) next() (Token, error) {
 	if err := l.skip(); err != nil {
-		return token{}, err
+		return Token{}, err
 	}
 	start := l.at
 	if start == len(l.source) {
-		return l.token(shapeEnd, "", start), nil
+		return l.token(End, "", start), nil
 	}
 	c := l.source[start]
 	switch {
 	case c == '\'':
-		return l.quoted(shapeString, '\'')
+		return l.quoted(String, '\'')
 	case c == '"':
-		return l.quoted(shapeQuoted, '"')
+		return l.quoted(Quoted, '"')
 	case isDigit(c), (c == '-' || c == '.') && l.digitFollows():
 		return l.number(), nil
 	case c == '$' && l.digitFollows():
 		l.at++
 		l.take(isDigit)
-		return l.token(shapeParameter, l.source[start+1:l.at], start), nil
+		return l.token(Parameter, l.source[start+1:l.at], start), nil
 	case isWordStart(c):
 		l.take(isWordPart)
-		return l.token(shapeWord, strings.ToLower(l.source[start:l.at]), start), nil
+		return l.token(Word, strings.ToLower(l.source[start:l.at]), start), nil
 	case strings.HasPrefix(l.source[start:], "::"):
 		l.at += 2
-		return l.token(shapeSymbol, "::", start), nil
+		return l.token(Symbol, "::", start), nil
 	default:
 		_, size := utf8.DecodeRuneInString(l.source[start:])
 		l.at += size
-		return l.token(shapeSymbol, l.source[start:l.at], start), nil
+		return l.token(Symbol, l.source[start:l.at], start), nil
 	}
 }
 
@@ -128,11 +154,11 @@
 			return nil
 		}
 	}
-	return syntaxError(start, "unterminated /* comment")
+	return query.Syntax(start, "unterminated /* comment")
 }
 
 // quoted reads up to the closing quote. A doubled quote stands for one.
-func (l *lexer) quoted(s shape, quote byte) (token, error) {
+func (l *lexer) quoted(s Shape, quote byte) (Token, error) {
 	start := l.at
 	var text strings.Builder
 	for l.at++; l.at < len(l.source); l.at++ {
@@ -146,22 +172,22 @@
 		}
 		text.WriteByte(quote)
 	}
-	return token{}, syntaxError(start, "unterminated quoted string")
+	return Token{}, query.Syntax(start, "unterminated quoted string")
 }
 
-func (l *lexer) number() token {
+func (l *lexer) number() Token {
 	start := l.at
 	l.at++
 	l.take(func(c byte) bool { return isDigit(c) || c == '.' })
-	return l.token(shapeNumber, l.source[start:l.at], start)
+	return l.token(Number, l.source[start:l.at], start)
 }
 
-func (l *lexer) token(s shape, text string, start int) token {
-	return token{
-		shape: s,
-		text:  text,
-		start: start,
-		end:   l.at,
+func (l *lexer) token(s Shape, text string, start int) Token {
+	return Token{
+		Shape: s,
+		Text:  text,
+		Start: start,
+		End:   l.at,
 	}
 }
 
--- a/egretlab/pgsim/sess/extended.go
+++ b/egretlab/pgsim/sess/extended.go
@@ -8,6 +8,7 @@
 	"egretlane.example/egret/egretlab/pgsim/codec"
 	"egretlane.example/egret/egretlab/pgsim/core"
 	"egretlane.example/egret/egretlab/pgsim/exec"
+	"egretlane.example/egret/egretlab/pgsim/parse"
 	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
@@ -39,7 +40,7 @@
 	if _, found := s.statements[m.Name]; found && m.Name != "" {
 		return core.Refuse(codeStatementExists, "prepared statement %q already exists", m.Name)
 	}
-	parsed, err := query.Parse(m.Query)
+	parsed, err := parse.Statements(m.Query)
 	if err != nil {
 		return err
 	}
--- a/egretlab/pgsim/sess/simple.go
+++ b/egretlab/pgsim/sess/simple.go
@@ -8,13 +8,14 @@
 	"egretlane.example/egret/egretlab/pgsim/codec"
 	"egretlane.example/egret/egretlab/pgsim/core"
 	"egretlane.example/egret/egretlab/pgsim/exec"
+	"egretlane.example/egret/egretlab/pgsim/parse"
 	"egretlane.example/egret/egretlab/pgsim/query"
 )
 
 // simple runs the statements of a Query message. Those outside an explicit transaction share an
 // implicit one.
 func (s *Session) simple(ctx context.Context, text string) error {
-	statements, err := query.Parse(text)
+	statements, err := parse.Statements(text)
 	if err != nil {
 		return err
 	}
