table: name the store's own error when an edit runs out of time

An apply that ended while the store was down said "deadline exceeded" if its last call was cut short, and the store's error otherwise, so that the golden test of egretctl failed in 2 of about 50 runs. The editor now reports the last error that came from the store.

--- a/table/editor.go
+++ b/table/editor.go
@@ -123,8 +123,7 @@
 		if found.Revision != base.Revision {
 			return settle(p, base, found, lost)
 		}
-		err = e.pause(ctx, n)
-		if err != nil {
+		if e.pause(ctx, n) != nil {
 			return Applied{}, unread(p, lost, err)
 		}
 	}
@@ -176,15 +175,20 @@
 	})
 }
 
-// get reads the value until the store answers.
+// get reads the value until the store answers. If the context ends in a call, the error is that of the
+// call before, which tells more.
 func (e *Editor) get(ctx context.Context) (egret.Value, error) {
+	last := error(nil)
 	for n := 1; ; n++ {
 		v, err := e.Store.Get(ctx, e.Key)
 		if err == nil {
 			return v, nil
 		}
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
 		if e.pause(ctx, n) != nil {
-			return egret.Value{}, errors.Trace(err)
+			return egret.Value{}, errors.Trace(last)
 		}
 	}
 }
