pgsim: write answers outside of the message's own context

A cancel or a statement timeout that came while a test's delay held the answer back was answered with a second error and a second ReadyForQuery, behind those of a transaction that had committed. The next statement on the connection then read the leftover. Found on review. What has run is now answered whatever comes; the test fails on the old code with 57014 for an innocent SELECT.

--- a/egretlab/pgsim/limit_test.go
+++ b/egretlab/pgsim/limit_test.go
@@ -209,6 +209,19 @@
 	if took := time.Since(begun); took < 50*time.Millisecond {
 		t.Errorf("answered in %s, want 50ms or more", took)
 	}
+	late := start(c, "INSERT INTO orders VALUES ('late', '1')")
+	eventually(t, "the order is committed", func() bool {
+		return b.Member.Orders() == 2
+	})
+	if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if got := wait(t, "the late answer", late); got != "" {
+		t.Errorf("cancel of what was committed: got %q", got)
+	}
+	if got := get[int64](t, c, "SELECT count(*) FROM orders"); got != 2 {
+		t.Errorf("%d rows after a cancel that came too late, want 2", got)
+	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/lag?duration=fast", nil))
 	if w.Code != http.StatusBadRequest {
--- a/egretlab/pgsim/sess/extended.go
+++ b/egretlab/pgsim/sess/extended.go
@@ -188,11 +188,3 @@
 	}
 	s.Backend.Send(&pgproto3.CloseComplete{})
 }
-
-// sync ends a batch. An implicit transaction is committed.
-func (s *Session) sync(ctx context.Context) error {
-	if err := s.commitImplicit(); err != nil {
-		return err
-	}
-	return s.ready(ctx)
-}
--- a/egretlab/pgsim/sess/session.go
+++ b/egretlab/pgsim/sess/session.go
@@ -188,20 +188,24 @@
 	running, done := s.start(ctx)
 	err := s.dispatch(running, m)
 	done()
-	if ctx.Err() != nil {
-		return context.Cause(ctx)
-	}
-	if err == nil || errors.Is(err, ErrGone) {
+	if err != nil && (ctx.Err() != nil || errors.Is(err, ErrGone)) {
 		return err
 	}
-	s.fail(err)
+	if err != nil {
+		s.fail(err)
+	}
+	// The answer is written outside of the message's own context: what has run can't be cancelled.
 	switch m.(type) {
 	case *pgproto3.Query, *pgproto3.Sync:
 		return s.ready(ctx)
-	default:
-		s.skipping = true
+	case *pgproto3.Flush:
 		return s.flush(ctx)
 	}
+	if err == nil {
+		return nil
+	}
+	s.skipping = true
+	return s.flush(ctx)
 }
 
 // start makes the context of a message, which Cancel ends.
@@ -243,10 +247,10 @@
 	case *pgproto3.Close:
 		s.close(m)
 		return nil
-	case *pgproto3.Flush:
-		return s.flush(ctx)
 	case *pgproto3.Sync:
-		return s.sync(ctx)
+		return s.commitImplicit()
+	case *pgproto3.Flush:
+		return nil
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		// They may follow a COPY that was refused.
 		return nil
--- a/egretlab/pgsim/sess/simple.go
+++ b/egretlab/pgsim/sess/simple.go
@@ -27,10 +27,7 @@
 			return err
 		}
 	}
-	if err := s.commitImplicit(); err != nil {
-		return err
-	}
-	return s.ready(ctx)
+	return s.commitImplicit()
 }
 
 // simpleStatement runs one statement. The last one is complete only when its implicit transaction
