egretlab: drive a set with a deployment's sizes and measure it

The two measures of the users need a set with their places, latencies and limits, callers that behave like theirs, and the usual practice beside it.

- sites lays out the processes of a deployment.
- links stands in for the network: latency, a shared rate between regions, cuts, bytes by cause.
A library's fault injector was ruled out for it: it shares no rate between links and its latency sleeps once for each chunk.
- load runs sessions under each policy, checks what they read against what they wrote, and the orders against the primaries' logs.
- measure and scripts/measure run it.
Nothing starts another process but the script.

--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,14 @@
 up: build
 	@./scripts/up
 
+# measure drives a set with a deployment's sizes. DEPLOYMENT, LAG, DURATION, SEED, POLICY, FAILURE,
+# FAILURES, STORE, SLOW_PRIMARIES, COST and FORMAT stand for the flags of `egretlab measure`.
+MEASURE_FLAGS = $(foreach v,LAG DURATION SEED POLICY FAILURE FAILURES STORE SESSIONS THINK FORMAT,\
+	$(if $($(v)),--$(shell echo $(v) | tr A-Z a-z) $($(v)))) \
+	$(if $(SLOW_PRIMARIES),--slow-primaries $(SLOW_PRIMARIES)) $(if $(COST),--cost)
+
+measure: build
+	@DEPLOYMENT=$(DEPLOYMENT) FLAT=$(FLAT) ./scripts/measure $(MEASURE_FLAGS)
+
 clean:
 	rm -rf .bin .run .out
--- /dev/null
+++ b/egretlab/links/pipe.go
@@ -0,0 +1,147 @@
+package links
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// chunkBytes is how much is read at once.
+	chunkBytes = 16 << 10
+
+	// queueChunks bounds what is on the way in one direction.
+	queueChunks = 64
+
+	// coarseSleep is how much of a wait is left to the precise timer.
+	coarseSleep = 2 * time.Millisecond
+)
+
+// chunk is data on its way.
+type chunk struct {
+	// data is what arrives. It is nil at the end of the stream.
+	data []byte
+
+	// err is why the stream broke, or nil.
+	err error
+
+	// due is when it arrives.
+	due time.Time
+}
+
+// pipe is one direction of a connection.
+type pipe struct {
+	// source and target are the ends.
+	source, target *net.TCPConn
+
+	// latency is the time on the way.
+	latency time.Duration
+
+	// opened is when the connection is open for the side that sends, as the handshake takes a
+	// round trip.
+	opened time.Time
+
+	// limiter is shared by all pipes between two regions in one direction. It may be nil.
+	limiter *rate.Limiter
+
+	// gate is that of the link's direction.
+	gate *gate
+
+	// count takes the bytes that have passed.
+	count func(n int)
+}
+
+// run moves the stream until its end or an error.
+func (p *pipe) run(ctx context.Context) error {
+	queue := make(chan chunk, queueChunks)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer close(queue)
+		p.read(ctx, queue)
+	}()
+	return p.write(ctx, queue)
+}
+
+// read puts chunks into the queue with the times when they are due, the end of the stream too: a cut
+// holds it back like all else.
+func (p *pipe) read(ctx context.Context, queue chan<- chunk) {
+	for {
+		data := make([]byte, chunkBytes)
+		n, err := p.source.Read(data)
+		c := chunk{
+			due: p.due(n),
+		}
+		switch {
+		case err == nil:
+			c.data = data[:n]
+		case !errors.Is(err, io.EOF):
+			c.err = errors.Trace(err)
+		}
+		select {
+		case queue <- c:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// due returns when n bytes that are sent now arrive.
+func (p *pipe) due(n int) time.Time {
+	now := time.Now()
+	if now.Before(p.opened) {
+		now = p.opened
+	}
+	if p.limiter != nil && n > 0 {
+		now = now.Add(p.limiter.ReserveN(now, n).DelayFrom(now))
+	}
+	return now.Add(p.latency)
+}
+
+// write hands chunks on when they are due.
+func (p *pipe) write(ctx context.Context, queue <-chan chunk) error {
+	for c := range queue {
+		sleepUntil(c.due)
+		for closed := p.gate.wait(); closed != nil; closed = p.gate.wait() {
+			select {
+			case <-closed:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		if c.err != nil {
+			return c.err
+		}
+		if c.data == nil {
+			return errors.Trace(p.target.CloseWrite())
+		}
+		if _, err := p.target.Write(c.data); err != nil {
+			return errors.Trace(err)
+		}
+		p.count(len(c.data))
+	}
+	return nil
+}
+
+// sleepUntil waits more precisely than the runtime's timers, which round to a millisecond.
+func sleepUntil(t time.Time) {
+	left := time.Until(t)
+	if left > coarseSleep {
+		time.Sleep(left - coarseSleep)
+		left = time.Until(t)
+	}
+	if left <= 0 {
+		return
+	}
+	wait := syscall.NsecToTimespec(left.Nanoseconds())
+	// A signal only ends the wait early.
+	_ = syscall.Nanosleep(&wait, nil)
+}
--- a/egretlab/main.go
+++ b/egretlab/main.go
@@ -34,6 +34,9 @@
 			vmsCommand(),
 			memberCommand(),
 			demoCommand(),
+			planCommand(),
+			linksCommand(),
+			measureCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/egretlab/measure.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretlane.example/egret/egretlab/load"
+)
+
+// measureSettings say what is measured.
+type measureSettings struct {
+	set setSettings
+
+	// duration is how long each phase is counted.
+	duration string
+
+	// policy is a policy or "all".
+	policy string
+
+	// lags are durations, separated by commas.
+	lags string
+
+	// seed, sessions and failures are whole numbers.
+	seed, sessions, failures string
+
+	// think is the mean time between a session's requests.
+	think string
+
+	// format is table or json.
+	format string
+
+	// failure is a kind of failure, or empty.
+	failure string
+
+	// store is up or down.
+	store string
+
+	// slow is how long primaries are slow, or empty.
+	slow string
+
+	// commit is the commit that is measured.
+	commit string
+
+	// cost says that the cost of the proxies is measured.
+	cost bool
+}
+
+// measureCommand drives a running set and prints what callers got.
+func measureCommand() *cli.Command {
+	s := &measureSettings{}
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "drive a running set and measure what callers get",
+		Flags: s.flags(),
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			return s.run(ctx)
+		},
+	}
+}
+
+func (s *measureSettings) flags() []cli.Flag {
+	return append(s.set.flags(),
+		textFlag(&s.duration, "duration", "EGRETLAB_DURATION", "20s", "`DURATION` of each phase"),
+		textFlag(&s.policy, "policy", "EGRETLAB_POLICY", "all", "`POLICY`: all, egretlane, primary-only or pin-after-write"),
+		textFlag(&s.lags, "lag", "EGRETLAB_LAG", "10ms,200ms,2s", "`DURATIONS` of the replicas' lag, with commas"),
+		textFlag(&s.seed, "seed", "EGRETLAB_SEED", "1", "`SEED` of the callers' choices"),
+		textFlag(&s.sessions, "sessions", "EGRETLAB_SESSIONS", "160", "`NUMBER` of callers"),
+		textFlag(&s.think, "think", "EGRETLAB_THINK", "100ms", "mean `DURATION` between a caller's requests"),
+		textFlag(&s.format, "format", "EGRETLAB_FORMAT", "table", "`FORMAT` of the result: table or json"),
+		textFlag(&s.failures, "failures", "EGRETLAB_FAILURES", "10", "`NUMBER` of failures"),
+		textFlag(&s.failure, "failure", "EGRETLAB_FAILURE", "", "`KIND` of failure: killed, frozen, cut or cut-one-region; none compares the policies"),
+		textFlag(&s.store, "store", "EGRETLAB_STORE", "up", "`STATE` of the store under failures: up or down"),
+		textFlag(&s.slow, "slow-primaries", "EGRETLAB_SLOW_PRIMARIES", "", "`DURATION` of slow but living primaries"),
+		textFlag(&s.commit, "commit", "EGRETLAB_COMMIT", "", "`COMMIT` that is measured, for the result"),
+		&cli.BoolFlag{
+			Name:        "cost",
+			Usage:       "measure the cost of the proxies against direct connections",
+			Sources:     cli.EnvVars("EGRETLAB_COST"),
+			Destination: &s.cost,
+		},
+	)
+}
+
+// run measures one thing.
+func (s *measureSettings) run(ctx context.Context) error {
+	r, err := s.runner()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	report := load.Report{
+		Deployment: s.set.deployment,
+		Seed:       r.Seed,
+		Commit:     s.commit,
+	}
+	switch {
+	case s.cost:
+		err = r.Cost(ctx, &report)
+	case s.slow != "":
+		err = r.SlowPrimaries(ctx, &report)
+	case s.failure != "":
+		err = r.Failover(ctx, &report)
+	default:
+		err = r.Policies(ctx, &report)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if s.format == "json" {
+		return errors.Trace(report.JSON(os.Stdout))
+	}
+	return errors.Trace(report.Table(os.Stdout))
+}
+
+// runner checks the settings.
+func (s *measureSettings) runner() (*load.Runner, error) {
+	f := &findings{}
+	set, err := s.set.set()
+	f.add("deployment", err)
+	r := &load.Runner{
+		Target: &load.Target{
+			Set:  set,
+			HTTP: &http.Client{},
+		},
+		Compared:  s.policies(f),
+		Lags:      s.parseLags(f),
+		Duration:  parseDuration(f, "duration", s.duration),
+		Seed:      uint64(parseNumber(f, "seed", s.seed)),
+		Sessions:  int(parseNumber(f, "sessions", s.sessions)),
+		Think:     parseDuration(f, "think", s.think),
+		Failures:  int(parseNumber(f, "failures", s.failures)),
+		Failure:   load.Kind(s.failure),
+		StoreDown: s.store == "down",
+	}
+	if s.slow != "" {
+		r.Slow = parseDuration(f, "slow-primaries", s.slow)
+	}
+	if s.store != "up" && s.store != "down" {
+		f.add("store", errors.NotValidf("%q (up, down)", s.store))
+	}
+	if s.format != "table" && s.format != "json" {
+		f.add("format", errors.NotValidf("%q (table, json)", s.format))
+	}
+	if s.failure != "" {
+		f.add("failure", r.Failure.Check())
+	}
+	return r, f.err()
+}
+
+func (s *measureSettings) policies(f *findings) []load.Policy {
+	if s.policy == "all" {
+		return load.Policies()
+	}
+	for _, p := range load.Policies() {
+		if string(p) == s.policy {
+			return []load.Policy{p}
+		}
+	}
+	f.add("policy", errors.NotValidf("%q (all, egretlane, primary-only, pin-after-write)", s.policy))
+	return nil
+}
+
+func (s *measureSettings) parseLags(f *findings) []time.Duration {
+	lags := []time.Duration{}
+	for text := range strings.SplitSeq(s.lags, ",") {
+		lags = append(lags, parseDuration(f, "lag", text))
+	}
+	return lags
+}
