--- a/egretlab/demo.go
+++ b/egretlab/demo.go
@@ -117,7 +117,9 @@
 	if err != nil {
 		return served{}, errors.Trace(err)
 	}
-	defer conn.Close(ctx)
+	defer func() {
+		_ = conn.Close(ctx)
+	}()
 	results, err := conn.Exec(ctx, query).ReadAll()
 	if err != nil {
 		return served{}, errors.Trace(err)
--- a/egretlane/providers.go
+++ b/egretlane/providers.go
@@ -6,13 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"google.golang.org/grpc"
 
-	"egretlane.example/egret"
 	"egretlane.example/egret/caller"
 	"egretlane.example/egret/entry"
 	"egretlane.example/egret/internal/lanepb"
@@ -96,14 +94,10 @@
 		Map:           c.Addresses,
 		Credentials:   credentials,
 		CurrentTables: k.Now,
-		TablesBytes: func() (uint64, []byte) {
-			return encodeTables(k.Now())
-		},
-		OfferTables: func(revision uint64, data []byte) error {
-			return offerTables(k, revision, data)
-		},
-		Registry: r,
-		Log:      l,
+		TablesBytes:   k.Bytes,
+		OfferTables:   k.OfferBytes,
+		Registry:      r,
+		Log:           l,
 	}
 	if c.VMList != "" {
 		m.VMs = &vmlist.Client{
@@ -113,27 +107,6 @@
 	return m, nil
 }
 
-// encodeTables returns the tables as they go to peers. Before the first tables it returns none.
-func encodeTables(t *egret.Tables) (uint64, []byte) {
-	if t == nil {
-		return 0, nil
-	}
-	data, err := table.Encode(t)
-	if err != nil {
-		return 0, nil
-	}
-	return t.Revision, data
-}
-
-func offerTables(k *table.Keeper, revision uint64, data []byte) error {
-	t, err := table.Decode(revision, data)
-	if err != nil {
-		return errors.Annotate(err, "tables from a peer")
-	}
-	k.Offer(t)
-	return nil
-}
-
 func newDialer(c *Config) (*member.Dialer, error) {
 	config, err := c.MemberTLS.memberTLS()
 	if err != nil {
