table, lane: a pool names its database

Cause: every pool was served from the one database of the proxy's settings. Change: the optional key database of a pool; lanes dial with it. Ruled out: the caller's own database name (a route may rename it).

--- a/egretlane/settings.go
+++ b/egretlane/settings.go
@@ -162,7 +162,7 @@
 		text("tables-key", "key of the tables in the store", "egretlane/tables", &s.tablesKey),
 		text("vm-list", "URL of the platform's list of VMs; none if empty", "", &s.vmList),
 		text("member-user", "user name at backend servers", "egretlane", &s.memberUser),
-		text("member-database", "database at backend servers", "postgres", &s.memberDatabase),
+		text("member-database", "database at backend servers, for pools that name none", "postgres", &s.memberDatabase),
 		text("member-password-file", "file with the password at backend servers; none if empty", "", &s.memberPasswordFile),
 	}
 }
--- /dev/null
+++ b/lane/dial.go
@@ -0,0 +1,16 @@
+package lane
+
+import "egretlane.example/egret/member"
+
+// dialer returns a dialer for the pool's database.
+func (l *lane) dialer() *member.Dialer {
+	l.mu.Lock()
+	database := l.settings.pool.Database
+	l.mu.Unlock()
+	if database == "" {
+		return l.holder.Dialer
+	}
+	d := *l.holder.Dialer
+	d.Database = database
+	return &d
+}
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -96,7 +96,7 @@
 	l.makeRoom()
 	giveUp := time.Now().Add(fullWait)
 	for {
-		wire, err := l.holder.Dialer.Open(ctx, l.member())
+		wire, err := l.dialer().Open(ctx, l.member())
 		if err == nil {
 			l.opened()
 			return &conn{
--- a/lane/slots.go
+++ b/lane/slots.go
@@ -76,7 +76,7 @@
 func (l *lane) openSlots() (*member.Slots, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, slotWait)
 	defer cancel()
-	return l.holder.Dialer.OpenSlots(ctx, l.member())
+	return l.dialer().OpenSlots(ctx, l.member())
 }
 
 // loseSlots starts no more statements: the locks may be another lane's by now.
--- a/table.go
+++ b/table.go
@@ -89,6 +89,9 @@
 	// Name is unique among pools.
 	Name string
 
+	// Database is the database on the members. If empty, it is the one of the proxy's settings.
+	Database string
+
 	// Slots is how many statements a member runs at once.
 	Slots int
 
--- a/table/diff.go
+++ b/table/diff.go
@@ -209,6 +209,7 @@
 	q := part{
 		title: fmt.Sprintf("pool %q", p.Name),
 	}
+	q.add("database", p.Database)
 	q.add("slots", strconv.Itoa(p.Slots))
 	q.add("connections", strconv.Itoa(p.Connections))
 	q.add("reserve", strconv.Itoa(p.Reserve))
--- a/table/form/document.go
+++ b/table/form/document.go
@@ -33,6 +33,7 @@
 
 type pool struct {
 	Name        string   `yaml:"name" json:"name"`
+	Database    string   `yaml:"database,omitempty" json:"database,omitempty"`
 	Slots       int      `yaml:"slots" json:"slots"`
 	Connections int      `yaml:"connections" json:"connections"`
 	Reserve     int      `yaml:"reserve" json:"reserve"`
@@ -119,6 +120,7 @@
 func toPool(p egret.Pool) pool {
 	f := pool{
 		Name:        p.Name,
+		Database:    p.Database,
 		Slots:       p.Slots,
 		Connections: p.Connections,
 		Reserve:     p.Reserve,
--- a/table/form/parse.go
+++ b/table/form/parse.go
@@ -159,6 +159,7 @@
 		f := r.mapping(path, n)
 		pools = append(pools, egret.Pool{
 			Name:        f.text("name"),
+			Database:    f.textOr("database", ""),
 			Slots:       f.number("slots"),
 			Connections: f.number("connections"),
 			Reserve:     f.numberOr("reserve", defaultReserve),
--- a/table/form/stored.go
+++ b/table/form/stored.go
@@ -81,6 +81,7 @@
 func (p pool) pool() egret.Pool {
 	q := egret.Pool{
 		Name:        p.Name,
+		Database:    p.Database,
 		Slots:       p.Slots,
 		Connections: p.Connections,
 		Reserve:     p.Reserve,
