pgsim: encryption and passwords

The proxy encrypts its connections to members and proves itself by SCRAM, and nothing answered it so far. The password stands in a file, since flags show in ps; only its keys are kept. Replicas are let in without, as the password is for clients.

--- a/egretlab/member.go
+++ b/egretlab/member.go
@@ -15,6 +15,7 @@
 	"egretlane.example/egret"
 	"egretlane.example/egret/egretlab/pgsim"
 	"egretlane.example/egret/egretlab/pgsim/core"
+	"egretlane.example/egret/egretlab/pgsim/login"
 	"egretlane.example/egret/egretlab/pgsim/walog"
 )
 
@@ -61,6 +62,12 @@
 	// upstream is the IP:port of the primary to follow, or empty.
 	upstream string
 
+	// tlsCert and tlsKey are files, or empty. One needs the other.
+	tlsCert, tlsKey string
+
+	// passwordFile is a file, or empty.
+	passwordFile string
+
 	// addresses are rules of the form FROM=TO.
 	addresses []string
 }
@@ -87,6 +94,10 @@
 		},
 		textFlag(&s.upstream, "upstream", "EGRETLAB_UPSTREAM", "",
 			"`ADDRESS` of the primary to follow, unless the folder says otherwise"),
+		textFlag(&s.tlsCert, "tls-cert", "EGRETLAB_TLS_CERT", "", "`FILE` of the certificate shown to clients that encrypt"),
+		textFlag(&s.tlsKey, "tls-key", "EGRETLAB_TLS_KEY", "", "`FILE` of the certificate's key"),
+		textFlag(&s.passwordFile, "password-file", "EGRETLAB_PASSWORD_FILE", "",
+			"`FILE` of the password that clients prove by SCRAM-SHA-256; none lets all in"),
 		&cli.StringSliceFlag{
 			Name:        "address-map",
 			Usage:       "`FROM=TO`: dial TO where FROM is meant; repeatable",
@@ -149,6 +160,7 @@
 		ConnectCost:   parseDuration(f, "connect-cost", s.connectCost),
 		StatementCost: parseDuration(f, "statement-cost", s.statementCost),
 	}
+	s.secure(f, server)
 	for _, text := range s.addresses {
 		r, err := egret.ParseAddressRule(text)
 		f.add("address-map", err)
@@ -157,6 +169,25 @@
 	return server
 }
 
+// secure adds what clients and the member prove to each other.
+func (s *memberSettings) secure(f *findings, server *pgsim.Server) {
+	var err error
+	if s.tlsCert != "" || s.tlsKey != "" {
+		server.TLS, err = login.ReadCertificate(s.tlsCert, s.tlsKey)
+		f.add("tls-cert", err)
+	}
+	if s.passwordFile == "" {
+		return
+	}
+	password, err := login.ReadPassword(s.passwordFile)
+	f.add("password-file", err)
+	if err != nil {
+		return
+	}
+	server.Password, err = login.NewVerifier(password)
+	f.add("password-file", err)
+}
+
 func (s *memberSettings) initial(f *findings) walog.Grant {
 	g := walog.Grant{
 		Term: uint64(parseNumber(f, "term", s.term)),
--- a/egretlab/pgsim/handshake.go
+++ b/egretlab/pgsim/handshake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"net"
 	"time"
@@ -13,8 +14,16 @@
 	"egretlane.example/egret/egretlab/pgsim/sess"
 )
 
-// codeProtocol refuses a start-up that is not understood.
-const codeProtocol = "08P01"
+const (
+	// codeProtocol refuses a start-up that is not understood.
+	codeProtocol = "08P01"
+
+	// codePassword refuses a client that didn't prove the password.
+	codePassword = "28P01"
+
+	// maxMessageBytes bounds a message of a client.
+	maxMessageBytes = 64 << 20
+)
 
 // handshake is the start-up of a connection.
 type handshake struct {
@@ -23,6 +32,9 @@
 
 	// backend reads from and writes to conn.
 	backend *pgproto3.Backend
+
+	// tls encrypts connections whose clients ask for it, or is nil.
+	tls *tls.Config
 }
 
 // key is what a client needs to cancel a statement.
@@ -34,7 +46,7 @@
 	secret uint32
 }
 
-// receive returns the message that starts a connection. Encryption is declined.
+// receive returns the message that starts a connection, after encryption if the client asks for it.
 func (h *handshake) receive(ctx context.Context) (pgproto3.FrontendMessage, error) {
 	stop := context.AfterFunc(ctx, func() {
 		// Until a session has started, nothing is owed to the client.
@@ -48,16 +60,43 @@
 			return nil, errors.Trace(err)
 		}
 		switch m.(type) {
-		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
-			if _, err := h.conn.Write([]byte{'N'}); err != nil {
-				return nil, errors.Trace(err)
-			}
+		case *pgproto3.SSLRequest:
+			err = h.encrypt()
+		case *pgproto3.GSSEncRequest:
+			err = h.answer('N')
 		default:
 			return m, nil
 		}
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
 	}
 }
 
+// encrypt takes up encryption, or declines it if the member has no certificate.
+func (h *handshake) encrypt() error {
+	if h.tls == nil {
+		return h.answer('N')
+	}
+	if err := h.answer('S'); err != nil {
+		return err
+	}
+	h.conn = tls.Server(h.conn, h.tls)
+	h.backend = newBackend(h.conn)
+	return nil
+}
+
+func (h *handshake) answer(b byte) error {
+	_, err := h.conn.Write([]byte{b})
+	return errors.Trace(err)
+}
+
+func newBackend(c net.Conn) *pgproto3.Backend {
+	b := pgproto3.NewBackend(c, c)
+	b.SetMaxBodyLen(maxMessageBytes)
+	return b
+}
+
 // negotiate tells a client that asked for a later version that this is 3.0.
 func (h *handshake) negotiate() {
 	h.backend.Send(&pgproto3.NegotiateProtocolVersion{
--- a/egretlab/pgsim/server.go
+++ b/egretlab/pgsim/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"egretlane.example/egret"
 	"egretlane.example/egret/egretlab/pgsim/core"
 	"egretlane.example/egret/egretlab/pgsim/locks"
+	"egretlane.example/egret/egretlab/pgsim/login"
 	"egretlane.example/egret/egretlab/pgsim/plat"
 	"egretlane.example/egret/egretlab/pgsim/repl"
 	"egretlane.example/egret/egretlab/pgsim/sess"
@@ -25,9 +27,6 @@
 	// startTimeout bounds the start-up of a connection.
 	startTimeout = 10 * time.Second
 
-	// maxMessageBytes bounds a message of a client.
-	maxMessageBytes = 64 << 20
-
 	// acceptPause follows a failed accept, as when the process has no more file descriptors.
 	acceptPause = 50 * time.Millisecond
 )
@@ -52,6 +51,12 @@
 	// StatementCost is how long each statement takes while it holds its slot.
 	StatementCost time.Duration
 
+	// TLS encrypts connections whose clients ask for it, or is nil for none.
+	TLS *tls.Config
+
+	// Password is what clients have to prove, or nil. Replicas are let in without.
+	Password *login.Verifier
+
 	// host is what the sessions share.
 	host sess.Host
 
@@ -138,9 +143,9 @@
 func (s *Server) serve(ctx context.Context, c net.Conn) {
 	h := handshake{
 		conn:    c,
-		backend: pgproto3.NewBackend(c, c),
+		backend: newBackend(c),
+		tls:     s.TLS,
 	}
-	h.backend.SetMaxBodyLen(maxMessageBytes)
 	_ = c.SetDeadline(time.Now().Add(startTimeout))
 	m, err := h.receive(ctx)
 	if err != nil {
@@ -198,6 +203,10 @@
 	if start.ProtocolVersion > pgproto3.ProtocolVersion30 {
 		h.negotiate()
 	}
+	if err := s.prove(h); err != nil {
+		h.refuse(err)
+		return
+	}
 	if err := h.accept(session.Settings.Report(), k); err != nil {
 		return
 	}
@@ -205,6 +214,17 @@
 	session.Run(ctx)
 }
 
+// prove makes a client prove the password, if there is one.
+func (s *Server) prove(h *handshake) error {
+	if s.Password == nil {
+		return nil
+	}
+	if err := s.Password.Prove(h.backend); err != nil {
+		return core.Refuse(codePassword, "password authentication failed")
+	}
+	return nil
+}
+
 // pause waits, or returns false if the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
