--- a/egretlab/proof/tables_test.go
+++ b/egretlab/proof/tables_test.go
@@ -63,6 +63,7 @@
 			name, databaseName, kinds, class, budget, s.ConfirmWait, more)
 	}
 	route("orders", "order", "order", s.OrderBudget, "")
+	route("reports", "report", "normal", s.ReadBudget, "    replicas: false\n")
 	route("lookups", "lookup", "normal", s.ReadBudget, fmt.Sprintf("    replicas: true\n    max-age: %s\n", s.MaxAge))
 	route("others", "", "normal", s.ReadBudget, "    replicas: true\n")
 	fmt.Fprintf(b, "pools:\n  - name: catalogo\n    slots: %d\n    connections: %d\n    reserve: %d\n    queue: %d\n"+
