repl: give a silent link up after 1.2 s

The stated bound is 2 s from the silence to the new stream. At 1.5 s a busy machine had little room for the reconnect.

--- a/egretlab/pgsim/repl/frame.go
+++ b/egretlab/pgsim/repl/frame.go
@@ -18,7 +18,7 @@
 	heartbeat = 300 * time.Millisecond
 
 	// silence is how long either side waits for the other before it gives the stream up.
-	silence = 1500 * time.Millisecond
+	silence = 1200 * time.Millisecond
 
 	// maxEntries is how many entries a frame holds.
 	maxEntries = 256
