--- /dev/null
+++ b/egretlab/links/relay_test.go
@@ -0,0 +1,230 @@
+package links
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// network is a running relay with one link to an echo server.
+type network struct {
+	relay *Relay
+	link  Link
+}
+
+// newNetwork runs a relay with a link from a to b. What arrives at b is sent back.
+func newNetwork(t *testing.T, latency time.Duration, bits int) *network {
+	t.Helper()
+	echo := newListener(t)
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	free := newListener(t)
+	listen := netip.MustParseAddrPort(free.Addr().String())
+	free.Close()
+	n := &network{
+		link: Link{
+			From: Place{
+				Name:   "a-1",
+				Domain: "a",
+				Region: "north",
+			},
+			To: Place{
+				Name:   "b-1",
+				Domain: "b",
+				Region: "south",
+			},
+			Listen:  listen,
+			Dial:    netip.MustParseAddrPort(echo.Addr().String()),
+			Latency: latency,
+			Cause:   CauseProxy,
+		},
+	}
+	n.relay = &Relay{
+		Plan: Plan{
+			RegionBits: bits,
+			Links:      []Link{n.link},
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- n.relay.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return n
+}
+
+func newListener(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		l.Close()
+	})
+	return l
+}
+
+// dial connects through the link, as soon as it listens.
+func (n *network) dial(t *testing.T) net.Conn {
+	t.Helper()
+	for i := 0; ; i++ {
+		c, err := net.Dial("tcp", n.link.Listen.String())
+		if err == nil {
+			t.Cleanup(func() {
+				c.Close()
+			})
+			return c
+		}
+		if i == 200 {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// exchange sends a text and returns how long its echo took.
+func exchange(t *testing.T, c net.Conn, text string) time.Duration {
+	t.Helper()
+	start := time.Now()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != text {
+		t.Fatalf("echo %.20q, want %.20q", got, text)
+	}
+	return time.Since(start)
+}
+
+func TestLatencyIsThatOfBothDirections(t *testing.T) {
+	n := newNetwork(t, 30*time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	// The shortest of some tells the network's part on a busy machine.
+	best := time.Hour
+	for range 5 {
+		best = min(best, exchange(t, c, "hello"))
+	}
+	if best < 60*time.Millisecond || best > 75*time.Millisecond {
+		t.Errorf("round trip of %s, want 60 ms", best)
+	}
+}
+
+func TestLatencyDoesNotBoundTheRate(t *testing.T) {
+	n := newNetwork(t, 30*time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	// Many chunks, each of which would take a latency if they went one by one.
+	took := exchange(t, c, string(make([]byte, 40*chunkBytes)))
+	if took > 500*time.Millisecond {
+		t.Errorf("40 chunks took %s, want little more than 60 ms", took)
+	}
+}
+
+func TestRegionsShareARate(t *testing.T) {
+	const bits = 8_000_000
+	n := newNetwork(t, time.Millisecond, bits)
+	first, second := n.dial(t), n.dial(t)
+	exchange(t, first, "opens the connection")
+	exchange(t, second, "opens the connection")
+	text := string(make([]byte, 300_000))
+	start := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		exchange(t, first, text)
+	}()
+	exchange(t, second, text)
+	<-done
+	// 600 kB at 1 MB a second, less what passes at once.
+	if took := time.Since(start); took < 500*time.Millisecond || took > 1500*time.Millisecond {
+		t.Errorf("two connections took %s, want 0.54 s or little more", took)
+	}
+}
+
+func TestCutIsSilentUntilHealed(t *testing.T) {
+	n := newNetwork(t, time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	n.relay.Cut(Cut{
+		From: "b",
+		To:   anyPlace,
+	})
+	fresh := n.dial(t)
+	for _, c := range []net.Conn{c, fresh} {
+		if _, err := io.WriteString(c, "hello"); err != nil {
+			t.Fatal(err)
+		}
+		expectSilence(t, c)
+	}
+	n.relay.Heal()
+	got := make([]byte, len("hello"))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "hello" {
+		t.Errorf("after the cut: %q, %v, want what was sent", got, err)
+	}
+	if _, err := fresh.Read(got); err == nil {
+		t.Error("a connection that was opened in the cut works")
+	}
+}
+
+func TestCutOfOneDirectionLetsTheOtherPass(t *testing.T) {
+	n := newNetwork(t, time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "12345")
+	n.relay.Cut(Cut{
+		From:   "south",
+		To:     "north",
+		OneWay: true,
+	})
+	if _, err := io.WriteString(c, "hello"); err != nil {
+		t.Fatal(err)
+	}
+	expectSilence(t, c)
+	for _, x := range n.relay.Traffic() {
+		want := int64(5)
+		if x.From == "north" {
+			want = 10
+		}
+		if x.Bytes != want || x.Cause != CauseProxy {
+			t.Errorf("from %s: %d bytes of %s, want %d of proxy", x.From, x.Bytes, x.Cause, want)
+		}
+	}
+}
+
+// expectSilence fails if anything arrives, or the connection ends.
+func expectSilence(t *testing.T, c net.Conn) {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Read(make([]byte, 1))
+	if e, ok := err.(net.Error); !ok || !e.Timeout() {
+		t.Errorf("in the cut: %v, want silence", err)
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+}
