--- /dev/null
+++ b/lane/ages_test.go
@@ -0,0 +1,60 @@
+package lane
+
+import (
+	"testing"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+func TestAges(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(offset uint64) egret.Position {
+		return egret.Position{
+			Term:   1,
+			Offset: offset,
+		}
+	}
+	a := ages{}
+	for i := range 5 {
+		a.add(sample{
+			asked:    start.Add(time.Duration(i) * time.Second),
+			position: at(uint64(i) * 10),
+		})
+	}
+	now := start.Add(4500 * time.Millisecond)
+	tests := []struct {
+		name       string
+		applied    egret.Position
+		bound, lag time.Duration
+	}{
+		{name: "up to date", applied: at(40), bound: 500 * time.Millisecond, lag: 250 * time.Millisecond},
+		{name: "between samples", applied: at(15), bound: 3500 * time.Millisecond, lag: 3000 * time.Millisecond},
+		{name: "later term", applied: egret.Position{Term: 2, Offset: 1}, bound: 500 * time.Millisecond, lag: 250 * time.Millisecond},
+		{name: "before all samples", applied: egret.Position{}, bound: unknownLag, lag: unknownLag},
+	}
+	// The first sample is of an empty log, which any member covers.
+	a.samples = a.samples[1:]
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			state := egret.MemberState{
+				Role:    egret.RoleReplica,
+				Applied: tt.applied,
+				Sampled: now,
+			}
+			if got := a.bound(state, now); got != tt.bound {
+				t.Errorf("bound() = %v, want %v", got, tt.bound)
+			}
+			if got := a.lag(state); got != tt.lag {
+				t.Errorf("lag() = %v, want %v", got, tt.lag)
+			}
+		})
+	}
+	a.add(sample{
+		asked:    now,
+		position: at(3),
+	})
+	if len(a.samples) != 1 {
+		t.Errorf("samples after a fall = %d, want 1", len(a.samples))
+	}
+}
--- /dev/null
+++ b/lane/fake_test.go
@@ -0,0 +1,412 @@
+package lane
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"egretlane.example/egret"
+)
+
+// fakeMember is a member that speaks the protocol and knows a few statements by their first words:
+//
+//	SELECT hang   gives no answer until it is cancelled
+//	SELECT cut    ends the connection in the middle of a row
+//	INSERT cut    writes, and ends the connection without an answer
+//	INSERT        writes
+//	FAIL code     fails with the SQLSTATE
+//	SELECT        returns the rest of the text
+type fakeMember struct {
+	address netip.AddrPort
+
+	// service is how long a statement takes.
+	service time.Duration
+
+	mu       sync.Mutex
+	state    egret.MemberState
+	sessions map[uint32]*fakeSession
+	locks    map[string]uint32
+	next     uint32
+
+	// ran are the statements that ran, parsed those that were prepared by name.
+	ran, parsed []string
+
+	// running is how many statements run, peak the most at once.
+	running, peak int
+}
+
+// fakeSession is one connection.
+type fakeSession struct {
+	member   *fakeMember
+	process  uint32
+	name     string
+	conn     net.Conn
+	backend  *pgproto3.Backend
+	canceled chan struct{}
+	prepared map[string]string
+	bound    string
+	readOnly bool
+	skip     bool
+
+	// simple says that a simple query runs, whose rows have a description.
+	simple bool
+
+	status byte
+}
+
+func newFakeMember(t *testing.T) *fakeMember {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &fakeMember{
+		address: netip.MustParseAddrPort(l.Addr().String()),
+		state: egret.MemberState{
+			Member:  "member-1",
+			Role:    egret.RolePrimary,
+			Granted: 1,
+			Received: egret.Position{
+				Term:   1,
+				Offset: 1,
+			},
+			Applied: egret.Position{
+				Term:   1,
+				Offset: 1,
+			},
+		},
+		sessions: map[uint32]*fakeSession{},
+		locks:    map[string]uint32{},
+	}
+	t.Cleanup(func() {
+		l.Close()
+		m.endAll("")
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+	return m
+}
+
+// endAll ends the connections whose application name ends so.
+func (m *fakeMember) endAll(purpose string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.sessions {
+		if strings.HasSuffix(s.name, purpose) {
+			s.conn.Close()
+		}
+	}
+}
+
+func (m *fakeMember) serve(c net.Conn) {
+	defer c.Close()
+	s := &fakeSession{
+		member:   m,
+		conn:     c,
+		backend:  pgproto3.NewBackend(c, c),
+		canceled: make(chan struct{}, 1),
+		prepared: map[string]string{},
+		status:   'I',
+	}
+	first, err := s.backend.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+	switch first := first.(type) {
+	case *pgproto3.CancelRequest:
+		m.cancel(first.ProcessID)
+		return
+	case *pgproto3.StartupMessage:
+		s.name = first.Parameters["application_name"]
+	}
+	m.mu.Lock()
+	m.next++
+	s.process = m.next
+	m.sessions[s.process] = s
+	m.mu.Unlock()
+	defer m.forget(s)
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.backend.Send(&pgproto3.BackendKeyData{
+		ProcessID: s.process,
+		SecretKey: []byte("none"),
+	})
+	s.ready()
+	for s.backend.Flush() == nil {
+		message, err := s.backend.Receive()
+		if err != nil || !s.handle(message) {
+			return
+		}
+	}
+}
+
+func (m *fakeMember) cancel(process uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.sessions[process]; s != nil {
+		select {
+		case s.canceled <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (m *fakeMember) forget(s *fakeSession) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.sessions, s.process)
+	for k, p := range m.locks {
+		if p == s.process {
+			delete(m.locks, k)
+		}
+	}
+}
+
+func (s *fakeSession) ready() {
+	s.backend.Send(&pgproto3.ReadyForQuery{
+		TxStatus: s.status,
+	})
+}
+
+// handle answers a message. It returns false if the connection ends.
+func (s *fakeSession) handle(message pgproto3.FrontendMessage) bool {
+	if _, sync := message.(*pgproto3.Sync); s.skip && !sync {
+		return true
+	}
+	switch m := message.(type) {
+	case *pgproto3.Sync:
+		s.skip = false
+		s.ready()
+	case *pgproto3.Query:
+		s.simple = true
+		defer func() {
+			s.simple = false
+		}()
+		for _, q := range strings.Split(m.String, "; ") {
+			if alive := s.run(q); !alive {
+				return false
+			}
+		}
+		s.skip = false
+		s.ready()
+	case *pgproto3.Parse:
+		s.prepared[m.Name] = m.Query
+		if m.Name != "" {
+			s.member.mu.Lock()
+			s.member.parsed = append(s.member.parsed, m.Name)
+			s.member.mu.Unlock()
+		}
+		s.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		s.bound = s.prepared[m.PreparedStatement]
+		s.backend.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		s.backend.Send(&pgproto3.NoData{})
+	case *pgproto3.Close:
+		s.backend.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Execute:
+		return s.run(s.bound)
+	}
+	return true
+}
+
+// run runs a statement: first those that take no slot.
+func (s *fakeSession) run(query string) bool {
+	m := s.member
+	m.mu.Lock()
+	answered := s.runFunction(query)
+	m.mu.Unlock()
+	if answered {
+		return true
+	}
+	m.begin(query)
+	defer m.end()
+	time.Sleep(m.service)
+	return s.runStatement(query)
+}
+
+func (m *fakeMember) begin(query string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ran = append(m.ran, query)
+	m.running++
+	m.peak = max(m.peak, m.running)
+}
+
+func (m *fakeMember) end() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running--
+}
+
+// runFunction answers the platform's functions. The caller has the member's lock.
+func (s *fakeSession) runFunction(query string) bool {
+	m := s.member
+	arguments := argumentsOf(query)
+	switch {
+	case strings.Contains(query, "platform.status"):
+		s.row("SELECT 1", m.stateRow()...)
+	case strings.Contains(query, "platform.require"):
+		floor := egret.Position{}
+		fmt.Sscanf(arguments, "%d, %d", &floor.Term, &floor.Offset)
+		if !m.state.Applied.Reaches(floor) {
+			s.fail("EL001")
+			return true
+		}
+		s.row("SELECT 1", "t")
+	case strings.Contains(query, "pg_try_advisory_lock"):
+		_, taken := m.locks[arguments]
+		if !taken {
+			m.locks[arguments] = s.process
+		}
+		s.row("SELECT 1", fmt.Sprint(!taken))
+	case strings.Contains(query, "pg_advisory_unlock"):
+		delete(m.locks, arguments)
+		s.row("SELECT 1", "t")
+	case strings.Contains(query, "platform.locks"):
+		s.describe(3)
+		for k, p := range m.locks {
+			s.backend.Send(rowOf(k, fmt.Sprint(p), m.sessions[p].name))
+		}
+		s.backend.Send(&pgproto3.CommandComplete{
+			CommandTag: []byte("SELECT 1"),
+		})
+	case strings.Contains(query, "pg_terminate_backend"):
+		process := uint32(0)
+		fmt.Sscan(arguments, &process)
+		if other := m.sessions[process]; other != nil {
+			other.conn.Close()
+		}
+		m.cancelLocked(process)
+		s.row("SELECT 1", "t")
+	case strings.HasPrefix(query, "SET "):
+		s.readOnly = strings.HasSuffix(query, "on")
+		s.tag("SET")
+	default:
+		return false
+	}
+	return true
+}
+
+func (m *fakeMember) cancelLocked(process uint32) {
+	if s := m.sessions[process]; s != nil {
+		close(s.canceled)
+	}
+}
+
+func (s *fakeSession) runStatement(query string) bool {
+	switch {
+	case query == "SELECT hang":
+		<-s.canceled
+		s.fail("57014")
+	case query == "SELECT cut":
+		s.conn.Write([]byte{'D', 0, 0, 0, 50, 0})
+		return false
+	case strings.HasPrefix(query, "FAIL "):
+		s.fail(strings.TrimPrefix(query, "FAIL "))
+	case query == "BEGIN":
+		s.status = 'T'
+		s.tag("BEGIN")
+	case query == "COMMIT", query == "ROLLBACK":
+		s.status = 'I'
+		s.tag(query)
+	case strings.HasPrefix(query, "INSERT"):
+		if s.readOnly || s.member.role() != egret.RolePrimary {
+			s.fail("25006")
+			return true
+		}
+		s.member.write()
+		if query == "INSERT cut" {
+			return false
+		}
+		s.tag("INSERT 0 1")
+	default:
+		s.row("SELECT 1", strings.TrimPrefix(query, "SELECT "))
+	}
+	return true
+}
+
+func (m *fakeMember) role() egret.Role {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Role
+}
+
+func (m *fakeMember) write() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.Received.Offset++
+	m.state.Applied = m.state.Received
+}
+
+// change changes the member's state.
+func (m *fakeMember) change(change func(s *egret.MemberState)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(&m.state)
+}
+
+func (s *fakeSession) fail(code string) {
+	if s.status == 'T' {
+		s.status = 'E'
+	}
+	s.skip = true
+	s.backend.Send(&pgproto3.ErrorResponse{
+		Severity: "ERROR",
+		Code:     code,
+		Message:  "refused",
+	})
+}
+
+func (s *fakeSession) tag(tag string) {
+	s.backend.Send(&pgproto3.CommandComplete{
+		CommandTag: []byte(tag),
+	})
+}
+
+func (s *fakeSession) row(tag string, values ...string) {
+	s.describe(len(values))
+	s.backend.Send(rowOf(values...))
+	s.tag(tag)
+}
+
+func (s *fakeSession) describe(columns int) {
+	if s.simple {
+		s.backend.Send(&pgproto3.RowDescription{
+			Fields: make([]pgproto3.FieldDescription, columns),
+		})
+	}
+}
+
+func rowOf(values ...string) *pgproto3.DataRow {
+	row := &pgproto3.DataRow{}
+	for _, v := range values {
+		row.Values = append(row.Values, []byte(v))
+	}
+	return row
+}
+
+// stateRow returns the member's state. The caller has the lock.
+func (m *fakeMember) stateRow() []string {
+	s := m.state
+	return []string{s.Member, string(s.Role), fmt.Sprint(s.Granted), fmt.Sprint(s.Received.Term),
+		fmt.Sprint(s.Received.Offset), fmt.Sprint(s.Applied.Term), fmt.Sprint(s.Applied.Offset), "", "f", "1", "0"}
+}
+
+// argumentsOf returns what stands in the first parentheses that hold something.
+func argumentsOf(query string) string {
+	_, rest, _ := strings.Cut(query, "(")
+	arguments, _, _ := strings.Cut(rest, ")")
+	return arguments
+}
--- a/lane/keeper.go
+++ b/lane/keeper.go
@@ -146,9 +146,7 @@
 // check makes sure that the locks are still held, and ends connections that hold locks for a proxy
 // that is gone.
 func (k *keeper) check() error {
-	ctx, cancel := k.bound()
-	defer cancel()
-	locks, err := k.session.Locks(ctx)
+	locks, err := k.locks()
 	if err != nil {
 		return err
 	}
@@ -164,26 +162,58 @@
 	if len(k.slots) == k.lane.wantedSlots() {
 		return nil
 	}
+	if err := k.endStale(locks); err != nil {
+		return err
+	}
 	return k.endGone(locks)
 }
 
+func (k *keeper) locks() ([]member.Lock, error) {
+	ctx, cancel := k.bound()
+	defer cancel()
+	return k.session.Locks(ctx)
+}
+
+// endStale ends a connection by which this proxy held the locks before and that the member still
+// counts as alive.
+func (k *keeper) endStale(locks []member.Lock) error {
+	own := k.lane.holder.Peers.Self().ID
+	for _, l := range locks {
+		if l.NodeID != own || l.Slot == 0 || l.Process == k.session.Process() {
+			continue
+		}
+		if err := k.terminate(l.Process); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // endGone ends the connections of proxies that are gone: first those that may run statements, then
-// those that hold slots. So no slot is free while a statement may still run in it.
+// those that hold slots, so that no slot is free while a statement may still run in it. A proxy
+// that isn't gone after all may have opened new ones before it lost its slots; these end last.
 func (k *keeper) endGone(locks []member.Lock) error {
 	gone := k.lane.holder.gone(locks)
-	if time.Now().Before(k.calm) {
-		gone = nil
+	if len(gone) == 0 || time.Now().Before(k.calm) {
+		return nil
 	}
-	slices.SortStableFunc(gone, func(a, b member.Lock) int {
-		return min(a.Slot, 1) - min(b.Slot, 1)
-	})
-	own := k.lane.holder.Peers.Self().ID
-	for _, l := range locks {
-		if l.NodeID == own && l.Slot > 0 && l.Process != k.session.Process() {
-			gone = append(gone, l)
+	for _, wanted := range []func(l member.Lock) bool{isMark, isSlot} {
+		if err := k.terminateAll(gone, wanted); err != nil {
+			return err
 		}
 	}
-	for _, l := range gone {
+	left, err := k.locks()
+	if err != nil {
+		return err
+	}
+	return k.terminateAll(k.lane.holder.gone(left), isMark)
+}
+
+func (k *keeper) terminateAll(locks []member.Lock, wanted func(l member.Lock) bool) error {
+	for _, l := range locks {
+		if !wanted(l) {
+			continue
+		}
 		if err := k.terminate(l.Process); err != nil {
 			return err
 		}
@@ -191,6 +221,14 @@
 	return nil
 }
 
+func isMark(l member.Lock) bool {
+	return l.Slot == 0
+}
+
+func isSlot(l member.Lock) bool {
+	return l.Slot > 0
+}
+
 // lister is what Peers may offer besides: all proxies that are known, whatever their state.
 type lister interface {
 	Nodes() []egret.Node
--- /dev/null
+++ b/lane/slots_test.go
@@ -0,0 +1,144 @@
+package lane
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+// load runs reads on all proxies until stop is closed. Refusals are left to the callers.
+func (b *bench) load(stop chan struct{}, holders ...*Holder) *sync.WaitGroup {
+	callers := &sync.WaitGroup{}
+	o := opening(true)
+	o.Budget = 200 * time.Millisecond
+	for _, h := range holders {
+		for range 10 {
+			callers.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					transact(b.t, h, o, simple("SELECT 7"))
+				}
+			})
+		}
+	}
+	return callers
+}
+
+func (b *bench) ran() int {
+	b.member.mu.Lock()
+	defer b.member.mu.Unlock()
+	return len(b.member.ran)
+}
+
+func (b *bench) wantPeak(limit int) {
+	b.t.Helper()
+	b.member.mu.Lock()
+	defer b.member.mu.Unlock()
+	if b.member.peak > limit {
+		b.t.Errorf("statements at once = %d, want %d at most", b.member.peak, limit)
+	}
+}
+
+func TestTwoProxiesThatBothHoldALaneShareItsSlots(t *testing.T) {
+	b := newBench(t)
+	b.member.service = time.Millisecond
+	one, _ := b.proxy("proxy-1")
+	b.eventually("proxy-1 has both slots", func() bool {
+		return b.slots(one) == 2
+	})
+	two, _ := b.proxy("proxy-2", node("proxy-1"))
+	stop := make(chan struct{})
+	callers := b.load(stop, one, two)
+	b.eventually("100 statements", func() bool {
+		return b.ran() > 100
+	})
+	if got := b.slots(two); got != 0 {
+		t.Errorf("slots of proxy-2 = %d while proxy-1 has all, want 0", got)
+	}
+	close(stop)
+	callers.Wait()
+	b.wantPeak(2)
+}
+
+func TestHandOverMovesSlotsAndFinishesTransactions(t *testing.T) {
+	b := newBench(t)
+	b.member.service = time.Millisecond
+	one, peers := b.proxy("proxy-1")
+	b.eventually("proxy-1 has both slots", func() bool {
+		return b.slots(one) == 2
+	})
+	open, err := one.Begin(t.Context(), opening(false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer open.Close()
+	drop := func([]byte) error {
+		return nil
+	}
+	if _, err := open.Exchange(t.Context(), simple("BEGIN"), drop); err != nil {
+		t.Fatal(err)
+	}
+	two, _ := b.proxy("proxy-2", egret.Node{
+		ID:    "proxy-1",
+		State: egret.NodeLeaving,
+	})
+	stop := make(chan struct{})
+	callers := b.load(stop, one, two)
+	peers.setLive(node("proxy-2"))
+	b.eventually("proxy-2 has a slot", func() bool {
+		return b.slots(two) > 0
+	})
+	b.eventually("proxy-1 refuses new transactions", func() bool {
+		_, _, err := transact(t, one, opening(true), simple("SELECT 7"))
+		return err != nil && egret.FailureOf(err).Reason == egret.ReasonNoLane
+	})
+	if _, err := open.Exchange(t.Context(), simple("COMMIT"), drop); err != nil {
+		t.Errorf("the open transaction failed: %v", err)
+	}
+	open.Close()
+	b.eventually("proxy-2 has all slots", func() bool {
+		return b.slots(two) == 2
+	})
+	close(stop)
+	callers.Wait()
+	b.wantPeak(2)
+}
+
+func TestLocksOfADeadProxyAreFreed(t *testing.T) {
+	b := newBench(t)
+	b.proxy("proxy-1")
+	b.eventually("proxy-1 has both slots", func() bool {
+		b.member.mu.Lock()
+		defer b.member.mu.Unlock()
+		return len(b.member.locks) == 2
+	})
+	// proxy-2 doesn't know proxy-1, as if it were dead, and ends its connections after absentWait.
+	two, _ := b.proxy("proxy-2")
+	b.eventually("proxy-2 has a slot", func() bool {
+		return b.slots(two) > 0
+	})
+}
+
+func TestLostLocksAreTakenAgain(t *testing.T) {
+	b := newBench(t)
+	b.member.service = time.Millisecond
+	h, _ := b.proxy("proxy-1")
+	b.eventually("both slots", func() bool {
+		return b.slots(h) == 2
+	})
+	stop := make(chan struct{})
+	callers := b.load(stop, h)
+	b.member.endAll("/slots")
+	b.eventually("statements again", func() bool {
+		return b.slots(h) == 2 && b.ran() > 200
+	})
+	close(stop)
+	callers.Wait()
+	b.wantPeak(2)
+}
