--- a/promo/beat.go
+++ b/promo/beat.go
@@ -28,11 +28,12 @@
 func (w *Watcher) beat(ctx context.Context, v *watched, g egret.Group, fact egret.GroupFact) {
 	start := time.Now()
 	primary := *g.Member(fact.Primary)
-	timeout := min(max(w.Timing.Timeout, slowFactor*v.latency), maxTimeout)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, w.timeout(v))
 	defer cancel()
 	answers := make(chan answer, 1)
 	go func() {
+		ctx, cancel := patient(ctx, w.timeout(v))
+		defer cancel()
 		s, err := w.Control.Status(ctx, primary)
 		answers <- answer{
 			state: s,
@@ -71,6 +72,11 @@
 	w.counts.misses.Inc()
 }
 
+// timeout returns the time that the members have to answer: many times what the primary usually takes.
+func (w *Watcher) timeout(v *watched) time.Duration {
+	return min(max(w.Timing.Timeout, slowFactor*v.latency), maxTimeout)
+}
+
 // living reports whether the error, or its absence, comes from a member that runs. One that refuses
 // with an SQLSTATE of the classes for shutting down and starting doesn't serve.
 func living(err error) bool {
@@ -195,7 +201,7 @@
 func (w *Watcher) askHolder(ctx context.Context, v *watched, g egret.Group, fact egret.GroupFact) {
 	now := time.Now()
 	if s, ok := v.holderLook.poll(); ok {
-		v.heardHolder(s, now)
+		v.heardHolder(s)
 	}
 	holder, held := place.Lane(w.Peers.Live(), memberOf(g, fact.Primary))
 	if !held || holder.ID == w.Peers.Self().ID {
@@ -206,20 +212,24 @@
 		return
 	}
 	v.nextHolder = now.Add(holderInterval)
+	timeout := w.timeout(v)
+	if v.holderLook.idle() {
+		v.asked = now
+	}
 	v.holderLook.start(func() Sight {
-		ctx, cancel := context.WithTimeout(ctx, w.Timing.Timeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return w.askOne(ctx, holder, fact)
 	})
 }
 
-func (v *watched) heardHolder(s Sight, now time.Time) {
+func (v *watched) heardHolder(s Sight) {
 	switch s {
 	case SightSeen:
 		v.laneSince = time.Time{}
 	case SightUnseen:
 		if v.laneSince.IsZero() {
-			v.laneSince = now
+			v.laneSince = v.asked
 		}
 	}
 }
--- a/promo/choose.go
+++ b/promo/choose.go
@@ -118,12 +118,13 @@
 }
 
 // orphan reports whether the group needs a promotion although its members answer: the one that led
-// answers and leads no more, or was never known, or a majority has granted a higher term.
+// answers and leads no more, was never known or is no member any more, or a member has granted a
+// higher term.
 func orphan(g egret.Group, f Finding, states []egret.MemberState) bool {
 	if len(states) < majority(g) {
 		return false
 	}
-	if f.Highest > f.Lead.Term || !f.Known {
+	if f.Highest > f.Lead.Term || !f.Known || g.Member(f.Lead.Primary) == nil {
 		return true
 	}
 	_, answered := stateOf(states, f.Lead.Primary)
--- a/promo/decide.go
+++ b/promo/decide.go
@@ -57,7 +57,7 @@
 	alonePatience = time.Second
 
 	// lanePatience is for a primary that others reach, but not the holder of its lane.
-	lanePatience = 2 * time.Second
+	lanePatience = 1500 * time.Millisecond
 
 	orphanPatience  = 1500 * time.Millisecond
 	unknownPatience = 3 * time.Second
@@ -174,7 +174,8 @@
 	case seen && !v.HolderSelf && v.Holder != SightUnseen:
 		return false
 	case seen:
-		patience += lanePatience
+		// One miss may be that of a single connection that went silent.
+		return v.Misses > 1 && v.due(v.SilentSince, lanePatience)
 	case !answered:
 		patience += alonePatience
 	}
--- a/promo/group.go
+++ b/promo/group.go
@@ -22,9 +22,6 @@
 	// slowFactor is how many times the usual time to answer a heartbeat is waited for.
 	slowFactor = 6
 
-	// surveyTimeout bounds a look at all members.
-	surveyTimeout = 1500 * time.Millisecond
-
 	// holderInterval is the interval of looks through the holder of the lane.
 	holderInterval = time.Second
 
@@ -67,6 +64,9 @@
 	nextMend   time.Time
 	nextHolder time.Time
 
+	// asked is when holderLook was started.
+	asked time.Time
+
 	// laneAfter is when a blind holder of the lane counts again after a promotion because of one.
 	laneAfter time.Time
 
@@ -139,6 +139,7 @@
 		term:      term,
 		highest:   max(v.highest, term),
 		laneAfter: v.laneAfter,
+		latency:   v.latency,
 	}
 }
 
@@ -162,6 +163,7 @@
 		cause:   cause,
 		old:     fact,
 		known:   max(v.highest, fact.Term),
+		timeout: w.timeout(v),
 		noticed: now.Sub(v.since(cause, now)),
 	}
 	if p.run(ctx) {
--- a/promo/mend.go
+++ b/promo/mend.go
@@ -14,6 +14,11 @@
 	result chan T
 }
 
+// idle reports whether no call runs.
+func (l *look[T]) idle() bool {
+	return l.result == nil
+}
+
 // start runs the call unless one runs already.
 func (l *look[T]) start(call func() T) {
 	if l.result != nil {
@@ -49,8 +54,9 @@
 		return
 	}
 	v.nextMend = now.Add(w.Timing.Mend)
+	timeout := w.timeout(v)
 	v.members.start(func() []egret.MemberState {
-		return w.survey(ctx, g)
+		return w.survey(ctx, g, timeout)
 	})
 }
 
@@ -64,13 +70,13 @@
 		w.Peers.Announce(f.Lead)
 	}
 	if len(f.Follow) > 0 {
-		go w.follow(ctx, g, f.Lead, f.Follow, w.counts.mended.Inc)
+		go w.follow(ctx, g, f.Lead, f.Follow, w.timeout(v), w.counts.mended.Inc)
 	}
 }
 
 // survey asks all members for their state.
-func (w *Watcher) survey(ctx context.Context, g egret.Group) []egret.MemberState {
-	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+func (w *Watcher) survey(ctx context.Context, g egret.Group, timeout time.Duration) []egret.MemberState {
+	ctx, cancel := patient(ctx, timeout)
 	defer cancel()
 	calls := []func() (egret.MemberState, error){}
 	for _, m := range g.Members {
@@ -81,8 +87,11 @@
 	return collect(calls, len(g.Members), 0, nil)
 }
 
-// fenceGrace is how long further members are waited for once enough have answered.
-const fenceGrace = 150 * time.Millisecond
+// lookGrace and fenceGrace are how long further members are waited for once enough have answered.
+const (
+	lookGrace  = 40 * time.Millisecond
+	fenceGrace = 150 * time.Millisecond
+)
 
 // collect runs the calls at once and returns the states that came back. It returns early when
 // enough have come and the grace is over. Failed takes the errors, from one goroutine at a time.
@@ -118,12 +127,12 @@
 }
 
 // follow makes members follow the primary of a term.
-func (w *Watcher) follow(ctx context.Context, g egret.Group, lead egret.GroupFact, members []string, done func()) {
+func (w *Watcher) follow(ctx context.Context, g egret.Group, lead egret.GroupFact, members []string, timeout time.Duration, done func()) {
 	primary := addressOf(g, lead.Primary)
 	if !primary.IsValid() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	wg := sync.WaitGroup{}
 	for _, name := range members {
--- a/promo/promote.go
+++ b/promo/promote.go
@@ -11,8 +11,6 @@
 
 // Timeouts of a promotion's steps.
 const (
-	fenceTimeout   = 1500 * time.Millisecond
-	promoteTimeout = time.Second
 	catchUpTimeout = time.Second
 
 	// promoteTries is how often a member is asked to lead. The call is idempotent.
@@ -39,6 +37,9 @@
 	// known is the highest term known to be granted. Refusals raise it.
 	known uint64
 
+	// timeout bounds a call to a member.
+	timeout time.Duration
+
 	// noticed is how long the cause had held.
 	noticed time.Duration
 }
@@ -75,7 +76,7 @@
 	w.counts.promotions.WithLabelValues(string(p.cause)).Inc()
 	w.Log.Warn().Str("group", p.group.Name).Str("member", chosen.Member).Uint64("term", term).
 		Str("cause", string(p.cause)).Msg("promoted")
-	w.follow(ctx, p.group, lead, p.others(chosen.Member), nil)
+	w.follow(ctx, p.group, lead, p.others(chosen.Member), p.timeout, nil)
 	w.counts.took(partNotice, p.noticed)
 	w.counts.took(partFence, fencedAt.Sub(start))
 	w.counts.took(partPromote, promotedAt.Sub(fencedAt))
@@ -86,7 +87,7 @@
 // look asks all members before any is fenced. Without a majority nothing is fenced, since fenced
 // members would only stop to follow. A primary that answers now isn't silent.
 func (p *promotion) look(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout+catchUpTimeout)
 	defer cancel()
 	calls := []func() (egret.MemberState, error){}
 	for _, m := range p.group.Members {
@@ -94,7 +95,7 @@
 			return p.watcher.Control.Status(ctx, m)
 		})
 	}
-	states := collect(calls, majority(p.group), fenceGrace, nil)
+	states := collect(calls, majority(p.group), lookGrace, nil)
 	if len(states) < majority(p.group) {
 		return false
 	}
@@ -135,11 +136,16 @@
 // fence makes the members grant the term. A primary that is to hand over goes first, and the others
 // get the time to receive the end of its log, so that not even unconfirmed writes are lost.
 func (p *promotion) fence(ctx context.Context, term uint64) []egret.MemberState {
-	ctx, cancel := context.WithTimeout(ctx, fenceTimeout+catchUpTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout+catchUpTimeout)
 	defer cancel()
 	members := p.group.Members
 	fenced := []egret.MemberState{}
-	if p.cause == CauseLeaving || p.cause == CauseLane {
+	switch p.cause {
+	case CauseSilent:
+		// A silent primary isn't waited for.
+		members = p.rest(p.old.Primary)
+		go p.fenceSilent(context.WithoutCancel(ctx), term)
+	case CauseLeaving, CauseLane:
 		last, err := p.watcher.Control.Fence(ctx, memberOf(p.group, p.old.Primary), term)
 		if err != nil {
 			p.refused(err)
@@ -159,6 +165,14 @@
 	return append(fenced, collect(calls, enough, fenceGrace, p.refused)...)
 }
 
+// fenceSilent fences the primary if it answers after all, so that it stops to take writes that
+// nobody will confirm.
+func (p *promotion) fenceSilent(ctx context.Context, term uint64) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	_, _ = p.watcher.Control.Fence(ctx, memberOf(p.group, p.old.Primary), term)
+}
+
 // refused learns the term from a refusal.
 func (p *promotion) refused(err error) {
 	var refusal *egret.TermError
@@ -197,7 +211,7 @@
 }
 
 func (p *promotion) promoteOnce(ctx context.Context, member string, term uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	p.known = max(p.known, term)
 	s, err := p.watcher.Control.Promote(ctx, memberOf(p.group, member), term)
--- a/promo/watch.go
+++ b/promo/watch.go
@@ -78,8 +78,8 @@
 	// Default 250 ms.
 	Beat time.Duration
 
-	// Timeout bounds a heartbeat. A primary that answers within half of it is living, however
-	// slow it is. It grows with the primary's usual time to answer. Default 1.6 s.
+	// Timeout bounds a heartbeat. A primary that answers within it is living, however slow it is.
+	// It grows with the primary's usual time to answer. Default 1.5 s.
 	Timeout time.Duration
 
 	// Step is how much longer each further watcher waits. Default 1 s.
@@ -126,7 +126,7 @@
 		}
 	}
 	set(&t.Beat, 250*time.Millisecond)
-	set(&t.Timeout, 1600*time.Millisecond)
+	set(&t.Timeout, 1500*time.Millisecond)
 	set(&t.Step, time.Second)
 	set(&t.Mend, time.Second)
 }
@@ -181,7 +181,7 @@
 	if !bounded {
 		deadline = time.Now().Add(w.Timing.Timeout)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-witnessMargin))
+	ctx, cancel := patient(ctx, time.Until(deadline)-witnessMargin)
 	defer cancel()
 	return w.Control.Status(ctx, *m)
 }
@@ -273,6 +273,19 @@
 	return egret.Group{}, false
 }
 
+// patient returns a context that ends after d, but has no deadline to see. A call under it doesn't
+// give up on a slow connection ahead of time to try another one.
+func patient(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	hidden, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	timer := time.AfterFunc(d, cancel)
+	return hidden, func() {
+		stop()
+		timer.Stop()
+		cancel()
+	}
+}
+
 // pause waits. It returns false if the context ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
