--- a/egretlab/proof/check_test.go
+++ b/egretlab/proof/check_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"egretlane.example/egret/egretlab/pgsim"
 	"egretlane.example/egret/egretlab/pgsim/walog"
 )
 
@@ -212,3 +213,24 @@
 		return nil
 	})
 }
+
+// waitApplied waits until the reads of all members see the whole log.
+func (c *cluster) waitApplied() {
+	c.t.Helper()
+	until(c.t, 20*time.Second, "applied logs", func() error {
+		end := pgsim.Place{}
+		for i, m := range c.members {
+			s, err := m.state()
+			if err != nil {
+				return err
+			}
+			if i == 0 {
+				end = s.Received
+			}
+			if s.Applied != end {
+				return fmt.Errorf("%s has applied %v of %v", m.name, s.Applied, end)
+			}
+		}
+		return nil
+	})
+}
--- a/egretlab/proof/stop_test.go
+++ b/egretlab/proof/stop_test.go
@@ -16,6 +16,9 @@
 // shutdownLimit bounds a graceful shutdown whose requests all end soon.
 const shutdownLimit = 15 * time.Second
 
+// slowConfirm is the latency to the members that confirm, in each direction.
+const slowConfirm = 150 * time.Millisecond
+
 // TestGracefulShutdown ends each proxy in turn under load, with a long statement, an open
 // transaction and an idle session on it. No request may be cut.
 func TestGracefulShutdown(t *testing.T) {
@@ -45,6 +48,7 @@
 			t.Errorf("%s through proxy %d was cut: %v", e.id, e.proxy+1, e.err)
 		}
 	}
+	c.wantWithinLimits(t)
 	t.Log(l.recorder.tally())
 	t.Run("baseline", func(t *testing.T) {
 		killedUnderLoad(t, c)
@@ -79,15 +83,21 @@
 	if len(slept) > 0 {
 		t.Fatal("the long statement ended before the shutdown began")
 	}
+	// Confirmations that take long are under way when the lanes have nothing else left.
+	for _, m := range c.members[1:] {
+		c.link(c.proxies[proxy].name, m.name).delay(slowConfirm)
+	}
 	began := time.Now()
 	c.terminate(c.proxies[proxy])
 	if err := <-slept; err != nil {
 		t.Errorf("the long statement was cut: %v", err)
 	}
 	for _, sql := range []string{insertOf(name, "b"), "COMMIT"} {
+		asked := time.Now()
 		if _, err := run(ctx, open, sql); err != nil {
 			t.Errorf("the open transaction was cut at %s: %v", sql, err)
 		}
+		t.Logf("%s after %s", sql, time.Since(asked).Round(time.Millisecond))
 	}
 	if err := c.proxies[proxy].waitEnd(shutdownLimit); err != nil {
 		t.Error(err)
