caller, entry: slow callers, refused statements, lost transactions

Cause: tests with a scripted handler showed that - a caller that reads nothing, or sends half a message, held a member's connection without end; - a statement that the proxy refused to prepare kept its name, so that preparing it again failed with 42P05; - in a lost transaction ROLLBACK TO SAVEPOINT, and a ROLLBACK with statements behind it, counted as the transaction's end, and what followed would have run by itself; - DEALLOCATE of one statement and RESET of one setting dropped everything; - the session limit was told after the caller had been connected, and handshakes had none; - an unknown caller's proof ended earlier than a wrong password, which tells names apart; - start-up parameters that the proxy can't honour were ignored, replication and search_path among them; - a start-up message of a newer minor version was refused in place of being negotiated.

Change: writes and batches have timeouts; statements count once the database has taken them; only a lone end ends a lost transaction; parameters outside of a list are refused with 0A000; encryption inside of encryption is refused; function calls are answered; default_transaction_read_only is honoured; SHOW and the session's own statements work in extended queries, as drivers send them.

Ruled out: reading start-up packets by the library, which refuses minor versions that it doesn't know.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -27,12 +27,12 @@
 	// Batch is what goes to the lane.
 	Batch egret.Batch
 
-	// Texts are the texts of the statements that the batch runs, or that it prepares if it runs
-	// none.
+	// Texts are the texts of the statements that the batch runs, or that it prepares or describes if
+	// it runs none.
 	Texts []string
 
-	// Simple says that the batch is one Query message.
-	Simple bool
+	// Runs says that the batch runs a statement, and doesn't only prepare it.
+	Runs bool
 
 	// Refusal says that the batch can't be run as it is. It is nil for most.
 	Refusal *egret.Failure
@@ -40,8 +40,17 @@
 	// Answered says that the caller has been told of the refusal already.
 	Answered bool
 
-	// Parsed has the caller's names of the statements that the batch prepares, in order.
-	Parsed []string
+	// changes has what the batch prepares and closes, in order.
+	changes []change
+}
+
+// change is what a batch does to a prepared statement.
+type change struct {
+	// name is the caller's name.
+	name string
+
+	// statement is nil if the statement is closed.
+	statement *egret.Statement
 }
 
 // Next waits for a batch. The wait for its first byte ends with ErrDraining when the proxy shuts
@@ -74,13 +83,20 @@
 	return errors.Trace(err)
 }
 
-// Settle drops the prepared statements of a batch that the database did not take: those beyond the
-// number of ParseComplete messages in its answer.
+// Settle takes in which statements of the batch the database has prepared: as many as its answer has
+// ParseComplete messages. A batch that did not run isn't settled, and prepares nothing.
 func (c *Conn) Settle(in *Incoming, parseCompletes int) {
-	for i, name := range in.Parsed {
-		if i >= parseCompletes {
-			delete(c.prepared, name)
+	for _, h := range in.changes {
+		if h.statement == nil {
+			delete(c.prepared, h.name)
+			continue
+		}
+		if parseCompletes == 0 {
+			// The database has passed over all that follows the first refusal.
+			return
 		}
+		parseCompletes--
+		c.prepared[h.name] = *h.statement
 	}
 }
 
@@ -108,7 +124,7 @@
 func (g *gatherer) take(m pgproto3.FrontendMessage) bool {
 	switch m := m.(type) {
 	case *pgproto3.Query:
-		g.in.Simple = len(g.in.Batch.Messages) == 0
+		g.in.Runs = true
 		g.run = append(g.run, m.String)
 		g.add(m)
 		return true
@@ -124,12 +140,17 @@
 	case *pgproto3.Close:
 		g.close(m)
 	case *pgproto3.Execute:
+		g.in.Runs = true
 		g.add(m)
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		// Left over from a refused copy. PostgreSQL ignores them too.
 	case *pgproto3.Flush:
 		g.refuse(egret.CodeUnsupported, "Flush is not offered: end the batch with Sync")
 		g.sendRefusal()
+	case *pgproto3.FunctionCall:
+		g.refuse(egret.CodeUnsupported, "function calls are not offered: use SELECT")
+		// No Sync follows: the caller waits for the answer now.
+		return true
 	default:
 		g.refuse(egret.CodeUnsupported, "this message is not offered in pooled routes")
 	}
@@ -140,24 +161,29 @@
 	s := statementOf(m)
 	if m.Name == "" {
 		g.unnamed = true
-		g.in.Parsed = append(g.in.Parsed, "")
-		g.parsed = append(g.parsed, m.Query)
-		g.conn.prepared[""] = s
+		g.prepare("", s)
 		g.add(m)
 		return
 	}
-	if _, taken := g.conn.prepared[m.Name]; taken {
-		g.refuse("42P05", "the prepared statement \""+m.Name+"\" already exists")
+	if _, taken := g.find(m.Name); taken {
+		g.refuse("42P05", "prepared statement \""+m.Name+"\" already exists")
 		return
 	}
-	g.conn.prepared[m.Name] = s
-	g.in.Parsed = append(g.in.Parsed, m.Name)
-	g.parsed = append(g.parsed, m.Query)
+	g.prepare(m.Name, s)
 	g.define(s)
 	m.Name = s.Name
 	g.add(m)
 }
 
+// prepare notes a statement for the rest of the batch, and for the session if the database takes it.
+func (g *gatherer) prepare(name string, s egret.Statement) {
+	g.parsed = append(g.parsed, s.Query)
+	g.in.changes = append(g.in.changes, change{
+		name:      name,
+		statement: &s,
+	})
+}
+
 func (g *gatherer) bind(m *pgproto3.Bind) {
 	s, ok := g.lookUp(m.PreparedStatement)
 	if !ok {
@@ -174,7 +200,9 @@
 		if !ok {
 			return
 		}
-		g.parsed = append(g.parsed, s.Query)
+		if !slices.Contains(g.parsed, s.Query) {
+			g.parsed = append(g.parsed, s.Query)
+		}
 		m.Name = g.nameFor(m.Name, s)
 	}
 	g.add(m)
@@ -184,17 +212,34 @@
 // close one that never exists, which the protocol allows and which gives the answer in its place.
 func (g *gatherer) close(m *pgproto3.Close) {
 	if m.ObjectType == 'S' {
-		delete(g.conn.prepared, m.Name)
+		g.in.changes = append(g.in.changes, change{
+			name: m.Name,
+		})
 		m.Name = "egretlane-none"
 	}
 	g.add(m)
 }
 
 func (g *gatherer) lookUp(name string) (egret.Statement, bool) {
-	s, found := g.conn.prepared[name]
+	s, found := g.find(name)
 	if !found {
-		g.refuse("26000", "the prepared statement \""+name+"\" does not exist")
+		g.refuse("26000", "prepared statement \""+name+"\" does not exist")
+	}
+	return s, found
+}
+
+// find returns the statement that the name stands for at this point of the batch.
+func (g *gatherer) find(name string) (egret.Statement, bool) {
+	for _, h := range slices.Backward(g.in.changes) {
+		if h.name != name {
+			continue
+		}
+		if h.statement == nil {
+			return egret.Statement{}, false
+		}
+		return *h.statement, true
 	}
+	s, found := g.conn.prepared[name]
 	return s, found
 }
 
--- a/caller/scram.go
+++ b/caller/scram.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
 	"crypto/tls"
 	"encoding/base64"
 	"os"
@@ -17,10 +19,22 @@
 // mechanism is the one way of proof by password.
 const mechanism = "SCRAM-SHA-256"
 
+// What PostgreSQL gives a verifier if nothing else is asked for.
+const (
+	defaultIterations = 4096
+	saltBytes         = 16
+)
+
 // Credentials holds the verifiers of callers. It is read-only once shared.
 type Credentials struct {
 	// verifiers has one verifier for each caller.
 	verifiers map[string]scram.StoredCredentials
+
+	// decoy is a secret made from the file, the same on all proxies that have the file.
+	decoy [sha256.Size]byte
+
+	// iterations is that of the first verifier.
+	iterations int
 }
 
 // ReadCredentials reads verifiers from a file with lines of the form NAME:VERIFIER, where the
@@ -32,7 +46,9 @@
 		return nil, errors.Annotate(err, "callers' credentials")
 	}
 	c := &Credentials{
-		verifiers: make(map[string]scram.StoredCredentials),
+		verifiers:  make(map[string]scram.StoredCredentials),
+		decoy:      sha256.Sum256(data),
+		iterations: defaultIterations,
 	}
 	var faults []string
 	for i, line := range strings.Split(string(data), "\n") {
@@ -40,13 +56,9 @@
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
-		name, verifier, _ := strings.Cut(line, ":")
-		v, err := parseVerifier(verifier)
-		if err != nil {
+		if err := c.take(line); err != nil {
 			faults = append(faults, "line "+strconv.Itoa(i+1)+": "+err.Error())
-			continue
 		}
-		c.verifiers[name] = v
 	}
 	if len(faults) > 0 {
 		return nil, errors.NotValidf("callers' credentials %s: %s", path, strings.Join(faults, "; "))
@@ -54,6 +66,48 @@
 	return c, nil
 }
 
+// take adds a line of the file.
+func (c *Credentials) take(line string) error {
+	name, verifier, _ := strings.Cut(line, ":")
+	v, err := parseVerifier(verifier)
+	if err != nil {
+		return err
+	}
+	if name == "" {
+		return errors.New("the caller's name is missing")
+	}
+	if _, taken := c.verifiers[name]; taken {
+		return errors.Errorf("the caller %q has a verifier already", name)
+	}
+	if len(c.verifiers) == 0 {
+		c.iterations = v.Iters
+	}
+	c.verifiers[name] = v
+	return nil
+}
+
+// lookUp returns the verifier of a caller. An unknown caller gets one that no password fits and that
+// looks like the others, so that names can't be probed.
+func (c *Credentials) lookUp(name string) scram.StoredCredentials {
+	if v, known := c.verifiers[name]; known {
+		return v
+	}
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{
+			Salt:  string(c.derive("salt", name)[:saltBytes]),
+			Iters: c.iterations,
+		},
+		StoredKey: c.derive("stored-key", name),
+		ServerKey: c.derive("server-key", name),
+	}
+}
+
+func (c *Credentials) derive(use, name string) []byte {
+	h := hmac.New(sha256.New, c.decoy[:])
+	h.Write([]byte(use + "\x00" + name))
+	return h.Sum(nil)
+}
+
 func parseVerifier(s string) (scram.StoredCredentials, error) {
 	parts := strings.FieldsFunc(s, func(r rune) bool {
 		return r == '$' || r == ':'
@@ -62,8 +116,8 @@
 		return scram.StoredCredentials{}, errors.New("the verifier is not of the form SCRAM-SHA-256$ITERATIONS:SALT$STOREDKEY:SERVERKEY")
 	}
 	iterations, err := strconv.Atoi(parts[1])
-	if err != nil {
-		return scram.StoredCredentials{}, errors.New("the verifier's iterations are no number")
+	if err != nil || iterations < 1 {
+		return scram.StoredCredentials{}, errors.New("the verifier's iterations are no number above zero")
 	}
 	var fields [3][]byte
 	for i, p := range parts[2:] {
@@ -72,6 +126,9 @@
 			return scram.StoredCredentials{}, errors.New("the verifier is not in base64")
 		}
 	}
+	if len(fields[1]) != sha256.Size || len(fields[2]) != sha256.Size {
+		return scram.StoredCredentials{}, errors.New("the verifier's keys are not of 32 bytes")
+	}
 	return scram.StoredCredentials{
 		KeyFactors: scram.KeyFactors{
 			Salt:  string(fields[0]),
@@ -87,11 +144,8 @@
 	if s.Credentials == nil || certifies(c, c.Start.User) {
 		return nil
 	}
-	stored, known := s.Credentials.verifiers[c.Start.User]
+	stored := s.Credentials.lookUp(c.Start.User)
 	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
-		if !known {
-			return scram.StoredCredentials{}, errors.NotFoundf("caller")
-		}
 		return stored, nil
 	})
 	if err != nil {
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -23,8 +24,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// handshakeTimeout bounds a connection's start, proof of the caller included.
-const handshakeTimeout = 10 * time.Second
+// Bounds on slow callers, for fields of a Server that are zero.
+const (
+	defaultHandshakeTimeout = 10 * time.Second
+	defaultBatchTimeout     = 30 * time.Second
+	defaultWriteTimeout     = 10 * time.Second
+)
+
+// drainHandshake is how long a handshake may still take once the proxy shuts down.
+const drainHandshake = time.Second
 
 // Handler serves callers.
 type Handler interface {
@@ -68,9 +76,20 @@
 	// StatementLimit is the size of the largest batch, in bytes.
 	StatementLimit int
 
-	// SessionLimit is the highest number of connections.
+	// SessionLimit is the highest number of connections. As many may be in their handshake besides.
 	SessionLimit int
 
+	// HandshakeTimeout bounds a connection's start, proof of the caller included. Zero means 10 s.
+	HandshakeTimeout time.Duration
+
+	// BatchTimeout bounds the time from the first byte of a batch to its last, outside of a
+	// transaction. Zero means 30 s.
+	BatchTimeout time.Duration
+
+	// WriteTimeout bounds the wait for a caller that doesn't read its answer. Until then the answer
+	// holds a connection of a member. Zero means 10 s.
+	WriteTimeout time.Duration
+
 	// Handler serves the callers.
 	Handler Handler
 
@@ -82,6 +101,9 @@
 	// conns has the connections that are past their handshake.
 	conns map[*Conn]struct{}
 
+	// greeted has the connections that are in their handshake.
+	greeted map[net.Conn]struct{}
+
 	// draining says that connections end between transactions.
 	draining bool
 
@@ -151,12 +173,7 @@
 // Drain ends idle connections at once and busy ones between transactions. It returns when all have
 // ended, or with an error when the context ends; connections that are left are then closed.
 func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	for c := range s.conns {
-		c.drain()
-	}
-	s.mu.Unlock()
+	s.startDrain()
 	done := make(chan struct{})
 	go func() {
 		s.all.Wait()
@@ -168,17 +185,37 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	left := len(s.conns)
+	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.net.Close()
 	}
-	s.mu.Unlock()
-	return errors.Errorf("%d connections were still busy", left)
+	for n := range s.greeted {
+		n.Close()
+	}
+	return errors.Errorf("%d connections were still busy", len(s.conns))
+}
+
+func (s *Server) startDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for c := range s.conns {
+		c.drain()
+	}
+	for n := range s.greeted {
+		// A failure means that the connection is gone.
+		_ = n.SetDeadline(time.Now().Add(drainHandshake))
+	}
 }
 
 func (s *Server) serve(ctx context.Context, n net.Conn) {
 	defer n.Close()
+	if !s.greet(n) {
+		s.Metrics.Refused.WithLabelValues("limit").Inc()
+		return
+	}
 	c, err := s.handshake(ctx, n)
+	s.ungreet(n)
 	if err != nil {
 		s.Metrics.Refused.WithLabelValues(causeOf(err)).Inc()
 		return
@@ -187,15 +224,30 @@
 		return
 	}
 	defer c.net.Close()
-	if !s.add(c) {
-		s.Metrics.Refused.WithLabelValues("limit").Inc()
-		c.FailFatal("53300", "the proxy has its limit of connections")
-		return
-	}
 	defer s.remove(c)
 	s.Handler.Serve(ctx, c)
 }
 
+// greet notes the start of a handshake. It returns false if there are too many.
+func (s *Server) greet(n net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.greeted) >= s.SessionLimit {
+		return false
+	}
+	if s.greeted == nil {
+		s.greeted = make(map[net.Conn]struct{})
+	}
+	s.greeted[n] = struct{}{}
+	return true
+}
+
+func (s *Server) ungreet(n net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.greeted, n)
+}
+
 func (s *Server) add(c *Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,3 +271,14 @@
 	delete(s.conns, c)
 	s.Metrics.Open.Set(float64(len(s.conns)))
 }
+
+func (s *Server) handshakeTimeout() time.Duration {
+	return cmp.Or(s.HandshakeTimeout, defaultHandshakeTimeout)
+}
+
+func (s *Server) newConn(n net.Conn) *Conn {
+	c := newConn(n, s.StatementLimit)
+	c.gate.batchTimeout = cmp.Or(s.BatchTimeout, defaultBatchTimeout)
+	c.writeTimeout = cmp.Or(s.WriteTimeout, defaultWriteTimeout)
+	return c
+}
--- a/caller/start.go
+++ b/caller/start.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -15,6 +14,12 @@
 	"egretlane.example/egret"
 )
 
+// codeTooMany is SQLSTATE too_many_connections.
+const codeTooMany = "53300"
+
+// refusalTimeout bounds the last word to a caller that is refused.
+const refusalTimeout = time.Second
+
 // TokenParameter is the name under which a session's token travels.
 const TokenParameter = "egretlane.token"
 
@@ -29,6 +34,9 @@
 	// Token is the session's token, or "".
 	Token string
 
+	// ReadOnly says that the session's transactions read only, unless one says otherwise.
+	ReadOnly bool
+
 	// Remote is the caller's address.
 	Remote netip.AddrPort
 }
@@ -60,12 +68,12 @@
 
 // handshake returns a connection that is ready for queries, or nil after a cancel request.
 func (s *Server) handshake(ctx context.Context, n net.Conn) (*Conn, error) {
-	if err := n.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+	if err := n.SetDeadline(time.Now().Add(s.handshakeTimeout())); err != nil {
 		return nil, errors.Trace(err)
 	}
-	c := newConn(n, s.StatementLimit)
+	c := s.newConn(n)
 	for {
-		m, err := c.backend.ReceiveStartupMessage()
+		m, err := readPacket(c.net)
 		if err != nil {
 			return nil, c.refuse("protocol", egret.CodeProtocol, "the start-up message is broken", err)
 		}
@@ -79,8 +87,6 @@
 			return nil, nil
 		case *pgproto3.StartupMessage:
 			return c, s.start(c, m)
-		default:
-			err = c.refuse("protocol", egret.CodeProtocol, "the start-up message has an unknown kind", nil)
 		}
 		if err != nil {
 			return nil, err
@@ -89,6 +95,9 @@
 }
 
 func (s *Server) answerTLS(c *Conn) (*Conn, error) {
+	if _, encrypted := c.net.(*tls.Conn); encrypted {
+		return nil, c.refuse("protocol", egret.CodeProtocol, "the connection is encrypted already", nil)
+	}
 	if s.TLS == nil {
 		_, err := c.net.Write([]byte{'N'})
 		return c, errors.Trace(err)
@@ -102,7 +111,7 @@
 			cause: "tls",
 		}
 	}
-	return newConn(t, s.StatementLimit), nil
+	return s.newConn(t), nil
 }
 
 func (s *Server) cancel(ctx context.Context, m *pgproto3.CancelRequest) {
@@ -119,10 +128,17 @@
 	if _, encrypted := c.net.(*tls.Conn); s.RequireTLS && !encrypted {
 		return c.refuse("tls", egret.CodeCaller, "this proxy takes encrypted connections only", nil)
 	}
-	c.Start = startupOf(m, c.net)
-	if c.Start.User == "" {
+	c.negotiate(m)
+	start, err := startupOf(m)
+	if err != nil {
+		f := egret.FailureOf(err)
+		return c.refuse("parameter", f.Code, f.Message, nil)
+	}
+	if start.User == "" {
 		return c.refuse("protocol", egret.CodeCaller, "the start-up message names no user", nil)
 	}
+	start.Remote = remoteOf(c.net)
+	c.Start = start
 	if err := s.prove(c); err != nil {
 		return err
 	}
@@ -130,6 +146,18 @@
 		f := egret.FailureOf(err)
 		return c.refuse("not-admitted", f.Code, f.Message, nil)
 	}
+	if !s.add(c) {
+		return c.refuse("limit", codeTooMany, "the proxy has its limit of connections", nil)
+	}
+	if err := s.admit(c); err != nil {
+		s.remove(c)
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+// admit tells the caller that it is connected and ends the bound on the handshake.
+func (s *Server) admit(c *Conn) error {
 	c.Key = s.Handler.Key()
 	c.greet()
 	if err := c.Flush(); err != nil {
@@ -163,9 +191,14 @@
 			cause: "closed",
 		}
 	}
+	if isTimeout(err) {
+		cause = "timeout"
+	}
 	if err != nil {
 		message = message + ": " + err.Error()
 	}
+	// The time of the handshake may be over, and the caller is to be told all the same.
+	_ = c.net.SetDeadline(time.Now().Add(refusalTimeout))
 	c.FailFatal(code, message)
 	return &handshakeError{
 		cause: cause,
@@ -177,33 +210,15 @@
 	}
 }
 
-func startupOf(m *pgproto3.StartupMessage, n net.Conn) Startup {
-	s := Startup{
-		User:     m.Parameters["user"],
-		Database: m.Parameters["database"],
-		Token:    m.Parameters[TokenParameter],
-	}
-	if s.Database == "" {
-		s.Database = s.User
-	}
-	if s.Token == "" {
-		s.Token = tokenOption(m.Parameters["options"])
-	}
-	if a, ok := n.RemoteAddr().(*net.TCPAddr); ok {
-		s.Remote = a.AddrPort()
-	}
-	return s
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
 }
 
-// tokenOption finds the token in options of the form "-c egretlane.token=...", which drivers offer
-// that know only the standard parameters.
-func tokenOption(options string) string {
-	for field := range strings.FieldsSeq(options) {
-		field = strings.TrimPrefix(field, "-c")
-		field = strings.TrimPrefix(field, "--")
-		if value, found := strings.CutPrefix(field, TokenParameter+"="); found {
-			return value
-		}
+func remoteOf(n net.Conn) netip.AddrPort {
+	a, ok := n.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
 	}
-	return ""
+	return a.AddrPort()
 }
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -110,9 +110,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &session{
-		desk:    d,
-		conn:    c,
-		settled: make(map[string]struct{}),
+		desk:     d,
+		conn:     c,
+		settled:  make(map[string]struct{}),
+		readOnly: c.Start.ReadOnly,
 	}
 	if c.Start.Token != "" {
 		// Admit has opened this token before.
--- a/entry/local.go
+++ b/entry/local.go
@@ -19,27 +19,56 @@
 	if !local {
 		return false
 	}
-	if !in.Simple || len(r.Actions) != 1 {
-		s.refuse(unsupported("this statement must be alone in a simple query"), false)
+	if len(r.Actions) != 1 {
+		s.refuse(unsupported("this statement must be alone in a query"), false)
+		return true
+	}
+	if f := s.answerHere(in, r.Actions[0]); f != nil {
+		s.refuse(f, false)
 		return true
 	}
-	s.answerHere(in, r.Actions[0])
 	s.ready(s.status())
 	return true
 }
 
-func (s *session) answerHere(in *caller.Incoming, a route.Action) {
-	switch a {
-	case route.ActionSetReadOnly, route.ActionSetReadWrite:
+func (s *session) answerHere(in *caller.Incoming, a route.Action) *egret.Failure {
+	words := route.Scan(in.Texts[0]).Statements[0].Words
+	if a == route.ActionShow {
+		name := strings.ToLower(words[1])
+		s.conn.Answer(in, caller.Answer{
+			Tag:    "SHOW",
+			Column: name,
+			Value:  s.value(name),
+		})
+		return nil
+	}
+	all := words[len(words)-1] == "ALL"
+	if words[0] == "DEALLOCATE" && !all {
+		return unsupported("DEALLOCATE of one statement is not offered: close it by the protocol, or all by DEALLOCATE ALL")
+	}
+	s.conn.Answer(in, caller.Answer{
+		Tag: words[0],
+	})
+	if !in.Runs {
+		return nil
+	}
+	if a != route.ActionReset {
 		s.readOnly = a == route.ActionSetReadOnly
-		s.conn.Complete("SET")
-	case route.ActionReset:
+		return nil
+	}
+	if all {
+		s.reset(words[0])
+	}
+	return nil
+}
+
+// reset drops what the proxy keeps for the session, as far as the command goes.
+func (s *session) reset(command string) {
+	if command == "DEALLOCATE" || command == "DISCARD" {
 		s.conn.Reset()
-		s.readOnly = false
-		s.conn.Complete(route.Scan(in.Texts[0]).Statements[0].Words[0])
-	case route.ActionShow:
-		name := strings.ToLower(route.Scan(in.Texts[0]).Statements[0].Words[1])
-		s.conn.Row(name, s.value(name))
+	}
+	if command == "RESET" || command == "DISCARD" {
+		s.readOnly = s.conn.Start.ReadOnly
 	}
 }
 
@@ -60,10 +89,14 @@
 }
 
 func (s *session) status() egret.TxStatus {
-	if s.open.tx != nil {
+	switch {
+	case s.lost:
+		return egret.TxFailed
+	case s.open.tx != nil:
 		return egret.TxOpen
+	default:
+		return egret.TxIdle
 	}
-	return egret.TxIdle
 }
 
 func unsupported(message string) *egret.Failure {
--- a/entry/session.go
+++ b/entry/session.go
@@ -134,7 +134,7 @@
 	}
 	r := route.Classify(scan(in.Texts), s.readOnly)
 	if s.lost {
-		s.serveLost(r)
+		s.serveLost(in, r)
 		return
 	}
 	if s.serveHere(in, r) {
@@ -155,19 +155,22 @@
 	return scanned
 }
 
-// serveLost answers a caller whose transaction is gone: only its end is taken.
-func (s *session) serveLost(r route.Request) {
-	if !r.Has(route.ActionEnd) {
+// serveLost answers a caller whose transaction is gone: only its end is taken, alone, so that nothing
+// that comes with it is taken for done or runs by itself.
+func (s *session) serveLost(in *caller.Incoming, r route.Request) {
+	if len(r.Actions) != 1 || r.Actions[0] != route.ActionEnd {
 		s.fail(&egret.Failure{
 			Outcome: egret.NotRun,
 			Code:    "25P02",
-			Message: "the transaction was rolled back: end it first",
+			Message: "the transaction was rolled back: end it first, with a ROLLBACK by itself",
 		}, egret.TxFailed)
 		return
 	}
-	s.lost = false
-	s.conn.Complete("ROLLBACK")
-	s.ready(egret.TxIdle)
+	s.conn.Answer(in, caller.Answer{
+		Tag: "ROLLBACK",
+	})
+	s.lost = !in.Runs
+	s.ready(s.status())
 }
 
 // refuse reports that a batch is not run. An open transaction is rolled back, as a database does
--- a/route/kind.go
+++ b/route/kind.go
@@ -141,7 +141,7 @@
 	case "BEGIN", "START":
 		return beginOf(s, readOnly)
 	case "COMMIT", "END", "ROLLBACK", "ABORT":
-		return ActionEnd
+		return endOf(s)
 	case "SET":
 		return setOf(s)
 	case "RESET", "DISCARD", "DEALLOCATE", "UNLISTEN":
@@ -166,6 +166,15 @@
 	return ActionBegin
 }
 
+// endOf tells the end of a transaction from statements that leave one open: back to a savepoint, or
+// on to the next transaction.
+func endOf(s Statement) Action {
+	if slices.Contains(s.Words, "TO") || slices.Contains(s.Words, "PREPARED") || hasRun(s.Words, "AND", "CHAIN") {
+		return ActionWrite
+	}
+	return ActionEnd
+}
+
 func setOf(s Statement) Action {
 	switch {
 	case len(s.Words) > 1 && s.Words[1] == "LOCAL":
