lane: find silent connections by what the member runs

Cause: a read on a connection that had gone silent took its whole budget, since nothing told lost requests from slow ones. Ruled out: a shorter TCP user timeout alone, since a middle box may acknowledge what it drops; cutting writes too, since one that waits for a lock doesn't count as running on the member. Change: each heartbeat says how many statements the member runs. A connection whose mark the member doesn't list any more is ended too. After a silent connection all idle ones are checked before they are lent. A simple query without the end of a statement is no whole answer. Besides, a SELECT outside of a block may call a function that writes, so that it is confirmed unless its transaction is read-only.

--- a/group.go
+++ b/group.go
@@ -45,6 +45,9 @@
 	// Leaving says that the member is about to leave.
 	Leaving bool
 
+	// Running is how many statements the member runs. One that waits for a lock doesn't count.
+	Running int
+
 	// Sampled is when the answer arrived here, by this process's monotonic clock.
 	Sampled time.Time
 }
--- a/lane/beat.go
+++ b/lane/beat.go
@@ -90,9 +90,11 @@
 
 // sampleMember takes the member's heartbeat.
 func (l *lane) sampleMember(ctx context.Context) {
+	asked := time.Now()
 	state, err := l.holder.Control.Status(ctx, l.member())
 	if err == nil {
 		l.note(state)
+		l.cutSilentReads(state, asked)
 		return
 	}
 	l.mu.Lock()
--- a/lane/conn.go
+++ b/lane/conn.go
@@ -21,6 +21,12 @@
 	// used is when a transaction last ended on it.
 	used time.Time
 
+	// reads says that what runs has no effect. Lane.mu guards it.
+	reads bool
+
+	// silence measures how long an answer is awaited.
+	silence silence
+
 	// cancelled says that a cancel request was sent. A late one could hit a later transaction, so
 	// the connection isn't lent again.
 	cancelled atomic.Bool
--- a/lane/exchange.go
+++ b/lane/exchange.go
@@ -59,6 +59,9 @@
 	// wrote says that a command was completed that may have written.
 	wrote bool
 
+	// ended says that a statement has ended since the last ReadyForQuery.
+	ended bool
+
 	// status is the transaction status after the last ReadyForQuery.
 	status egret.TxStatus
 
@@ -121,7 +124,7 @@
 			}
 			continue
 		}
-		m, err := e.conn.wire.Receive()
+		m, err := e.next()
 		if err != nil && e.mayWait(err) {
 			continue
 		}
@@ -135,6 +138,16 @@
 	return nil
 }
 
+// next waits for a message, and lets the lane know that it does.
+func (e *exchange) next() (pgproto3.BackendMessage, error) {
+	if e.conn.wire.Buffered() {
+		return e.conn.wire.Receive()
+	}
+	e.conn.silence.begin()
+	defer e.conn.silence.end()
+	return e.conn.wire.Receive()
+}
+
 // mayWait reports whether the answer may still come: when time runs out, the statement is cancelled
 // and its answer is awaited for a moment.
 func (e *exchange) mayWait(err error) bool {
@@ -177,13 +190,15 @@
 func (e *exchange) takeReply(x reply, m pgproto3.BackendMessage) error {
 	switch m := m.(type) {
 	case *pgproto3.ReadyForQuery:
-		e.status = egret.TxStatus(m.TxStatus)
-		return nil
+		return e.takeReady(x, m)
 	case *pgproto3.ParseComplete:
 		if x.name != "" {
 			e.conn.names.add(x.name)
 		}
+	case *pgproto3.EmptyQueryResponse:
+		e.ended = true
 	case *pgproto3.CommandComplete:
+		e.ended = true
 		if x.owner == ownerCaller {
 			return e.takeCommand(m)
 		}
@@ -198,11 +213,22 @@
 	return e.forward(m)
 }
 
+// takeReady notes the transaction's status. A simple query isn't over before a statement of it is.
+func (e *exchange) takeReady(x reply, m *pgproto3.ReadyForQuery) error {
+	if x.kind == replyQuery && !e.ended {
+		return errors.Annotate(errUnexpected, "query without an end")
+	}
+	e.ended = false
+	e.status = egret.TxStatus(m.TxStatus)
+	return nil
+}
+
 // takeCommand holds back the end of a write and what follows it.
 func (e *exchange) takeCommand(m *pgproto3.CommandComplete) error {
 	tag := string(m.CommandTag)
 	e.effects = e.effects || hasEffect(tag)
-	if writesTag(tag, e.opening.ReadOnly) && !e.wrote {
+	inBlock := e.status != egret.TxIdle || e.pipeline.opens
+	if writesTag(tag, e.opening.ReadOnly, inBlock) && !e.wrote {
 		e.wrote = true
 		e.held = len(e.out)
 	}
@@ -223,6 +249,7 @@
 	if isFatal(m) {
 		return errors.Errorf("member ended the connection: %s (SQLSTATE %s)", m.Message, m.Code)
 	}
+	e.ended = true
 	x := e.pipeline.replies.front()
 	e.pipeline.replies.skip()
 	e.dirty = e.dirty || breaksNames(m)
--- a/lane/exchange_test.go
+++ b/lane/exchange_test.go
@@ -83,6 +83,23 @@
 	})
 }
 
+func TestSilentConnectionIsFoundWithinTwoSeconds(t *testing.T) {
+	b := newBench(t)
+	h, _ := b.proxy("proxy-1")
+	began := time.Now()
+	_, _, err := transact(t, h, opening(true), simple("SELECT lost"))
+	if f := failureOf(t, err); f.Outcome != egret.NotRun || f.Reason != egret.ReasonMember {
+		t.Errorf("failure = %v, want not run because of the member", f)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the silent connection was found after %v, want 2 s at most", took)
+	}
+	answer, _, err := transact(t, h, opening(true), simple("SELECT 7"))
+	if err != nil || answer != "7 done" {
+		t.Errorf("next answer = %q, %v, want its own", answer, err)
+	}
+}
+
 func TestFloorUnmetSkipsTheStatement(t *testing.T) {
 	batches := map[string]egret.Batch{
 		"simple": simple("SELECT 7"),
--- a/lane/fake_test.go
+++ b/lane/fake_test.go
@@ -16,6 +16,7 @@
 
 // fakeMember is a member that speaks the protocol and knows a few statements by their first words:
 //
+//	SELECT lost   gets lost, and all that follows on the connection
 //	SELECT hang   gives no answer until it is cancelled
 //	SELECT cut    ends the connection in the middle of a row
 //	INSERT cut    writes, and ends the connection without an answer
@@ -53,6 +54,7 @@
 	bound    string
 	readOnly bool
 	skip     bool
+	silent   bool
 
 	// simple says that a simple query runs, whose rows have a description.
 	simple bool
@@ -181,7 +183,7 @@
 
 // handle answers a message. It returns false if the connection ends.
 func (s *fakeSession) handle(message pgproto3.FrontendMessage) bool {
-	if _, sync := message.(*pgproto3.Sync); s.skip && !sync {
+	if _, sync := message.(*pgproto3.Sync); s.silent || s.skip && !sync {
 		return true
 	}
 	switch m := message.(type) {
@@ -189,6 +191,10 @@
 		s.skip = false
 		s.ready()
 	case *pgproto3.Query:
+		if m.String == "SELECT lost" {
+			s.silent = true
+			return true
+		}
 		s.simple = true
 		defer func() {
 			s.simple = false
@@ -401,7 +407,7 @@
 func (m *fakeMember) stateRow() []string {
 	s := m.state
 	return []string{s.Member, string(s.Role), fmt.Sprint(s.Granted), fmt.Sprint(s.Received.Term),
-		fmt.Sprint(s.Received.Offset), fmt.Sprint(s.Applied.Term), fmt.Sprint(s.Applied.Offset), "", "f", "1", "0"}
+		fmt.Sprint(s.Received.Offset), fmt.Sprint(s.Applied.Term), fmt.Sprint(s.Applied.Offset), "", "f", "1", fmt.Sprint(m.running)}
 }
 
 // argumentsOf returns what stands in the first parentheses that hold something.
--- a/lane/holder_test.go
+++ b/lane/holder_test.go
@@ -122,7 +122,9 @@
 		asked: func(string) (egret.MemberState, error) {
 			b.member.mu.Lock()
 			defer b.member.mu.Unlock()
-			return b.member.state, nil
+			s := b.member.state
+			s.Running = b.member.running
+			return s, nil
 		},
 		awaited: func(_ context.Context, _ string, p egret.Position) (egret.MemberState, error) {
 			return received(1, p), nil
--- a/lane/keeper.go
+++ b/lane/keeper.go
@@ -146,6 +146,7 @@
 // check makes sure that the locks are still held, and ends connections that hold locks for a proxy
 // that is gone.
 func (k *keeper) check() error {
+	asked := time.Now()
 	locks, err := k.locks()
 	if err != nil {
 		return err
@@ -156,6 +157,7 @@
 			held++
 		}
 	}
+	k.lane.cutLost(locks, asked)
 	if held < len(k.slots) {
 		return errors.Errorf("member %s knows of %d of %d locks", k.lane.name, held, len(k.slots))
 	}
--- a/lane/keyword.go
+++ b/lane/keyword.go
@@ -38,12 +38,16 @@
 	return keyword == "COMMIT" || keyword == "END" || keyword == "ROLLBACK" || keyword == "ABORT"
 }
 
-// writesTag reports whether a command tag may stand for a write. Doubt counts as a write.
-func writesTag(tag string, readOnly bool) bool {
+// writesTag reports whether a command tag may stand for a write that is committed with the command.
+// Doubt counts as a write: a SELECT may call a function that writes. Inside a transaction block its
+// writes are committed by a COMMIT.
+func writesTag(tag string, readOnly bool, inBlock bool) bool {
 	switch keyword(tag) {
-	case "SELECT", "SHOW", "ROLLBACK", "BEGIN", "START", "SET", "RESET", "FETCH", "MOVE", "DECLARE", "CLOSE",
-		"EXPLAIN", "SAVEPOINT", "RELEASE":
+	case "SHOW", "ROLLBACK", "BEGIN", "START", "SET", "RESET", "FETCH", "MOVE", "DECLARE", "CLOSE", "SAVEPOINT",
+		"RELEASE":
 		return false
+	case "SELECT", "EXPLAIN":
+		return !readOnly && !inBlock
 	case "COMMIT":
 		return !readOnly
 	default:
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -75,6 +75,9 @@
 	// missed is how many heartbeats in a row got no answer.
 	missed int
 
+	// silent is when a connection was last found to have gone silent.
+	silent time.Time
+
 	// ages tells how old the member's data is.
 	ages ages
 
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -14,7 +14,7 @@
 
 const (
 	// checkAfter is the idle time from which a connection is checked before it is lent.
-	checkAfter = 2 * time.Second
+	checkAfter = time.Second
 
 	// checkWait bounds the check.
 	checkWait = 250 * time.Millisecond
@@ -39,13 +39,21 @@
 		if c == nil {
 			return l.dial(ctx)
 		}
-		if time.Since(c.used) < checkAfter || c.answers() {
+		if !l.needsCheck(c) || c.answers() {
 			return c, nil
 		}
 		l.discard(c, closedSilent)
 	}
 }
 
+// needsCheck reports whether a connection may have gone silent: it was unused for long, or another
+// one has gone silent since it was used.
+func (l *lane) needsCheck(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(c.used) >= checkAfter || !c.used.After(l.silent)
+}
+
 // takeIdle takes the connection that was used last, of those whose setting fits if there are any.
 func (l *lane) takeIdle(readOnly bool) *conn {
 	l.mu.Lock()
@@ -179,9 +187,10 @@
 }
 
 // activate notes that a statement runs on the connection.
-func (l *lane) activate(c *conn) {
+func (l *lane) activate(c *conn, reads bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.reads = reads
 	l.active = append(l.active, c)
 }
 
--- a/lane/slots.go
+++ b/lane/slots.go
@@ -128,6 +128,7 @@
 func (l *lane) endOverdue(o overdue) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.silent = time.Now()
 	l.overdue = append(l.overdue, o)
 	l.nudge()
 }
--- a/lane/transact.go
+++ b/lane/transact.go
@@ -185,7 +185,7 @@
 	if ctx.Err() != nil {
 		return notRun(egret.ReasonQueue, "time ran out before the batch was sent to member %s", t.opening.Member)
 	}
-	t.lane.activate(c)
+	t.lane.activate(c, t.opening.ReadOnly)
 	defer t.lane.deactivate(c)
 	t.begun = true
 	if err := e.run(ctx); err != nil {
--- a/member/state.go
+++ b/member/state.go
@@ -35,6 +35,8 @@
 	columnAppliedOffset
 	columnUpstream
 	columnLeaving
+	columnConnections
+	columnRunning
 	columnCount
 )
 
@@ -63,6 +65,7 @@
 		},
 		Upstream: r.address(columnUpstream),
 		Leaving:  r.bool(columnLeaving),
+		Running:  int(r.uint(columnRunning)),
 		Sampled:  sampled,
 	}
 	return state, errors.Annotate(r.err, "state row")
