lane: open lanes unasked only once the view of the proxies is settled

Cause: a proxy that starts knows few others and opened the lanes of all members for a moment. Change: lanes that nobody asked for wait until the live proxies and the tables were the same for 300 ms. A transaction opens its lane at once, so a dead proxy's lanes move without delay. Conclusion: many proxies that start together don't each connect to every member.

--- a/lane/holder.go
+++ b/lane/holder.go
@@ -18,6 +18,11 @@
 	// adjustInterval is how often the lanes are matched with the live proxies and the tables.
 	adjustInterval = 100 * time.Millisecond
 
+	// settleWait is how long the live proxies and the tables must stay the same before lanes are
+	// opened that nobody has asked for. A proxy that starts knows few others, and would open the
+	// lanes of all.
+	settleWait = 300 * time.Millisecond
+
 	// closeWait bounds the end of the lanes when Run ends.
 	closeWait = 2 * time.Second
 )
@@ -79,6 +84,12 @@
 type ownership struct {
 	tables *egret.Tables
 	live   []egret.Node
+
+	// since is when it was taken over.
+	since time.Time
+
+	// opened says that the lanes that this proxy owns by it have been opened.
+	opened bool
 }
 
 // Run holds lanes until the context ends. Then it closes all connections.
@@ -180,12 +191,18 @@
 	if h.absent.any() {
 		h.absent.update(h.present())
 	}
+	now := time.Now()
 	if tables != nil && !h.owned.same(tables, live) {
 		h.owned = ownership{
 			tables: tables,
 			live:   live,
+			since:  now,
 		}
-		h.match(tables, live)
+		h.match()
+	}
+	if h.owned.tables != nil && !h.owned.opened && now.Sub(h.owned.since) >= settleWait {
+		h.owned.opened = true
+		h.match()
 	}
 	for name, l := range h.lanes {
 		if l.finished() {
@@ -203,11 +220,13 @@
 	})
 }
 
-// match opens the lanes that this proxy owns and hands over the rest.
-func (h *Holder) match(tables *egret.Tables, live []egret.Node) {
+// match keeps the lanes that this proxy owns and hands over the rest. Once all is settled it opens
+// those that are missing. The caller has mu.
+func (h *Holder) match() {
+	tables := h.owned.tables
 	kept := map[string]bool{}
 	for _, s := range allSettings(tables) {
-		if !h.owns(live, s.member) {
+		if !h.owns(h.owned.live, s.member) {
 			continue
 		}
 		kept[s.member.Name] = true
@@ -215,7 +234,9 @@
 			l.keep(s)
 			continue
 		}
-		h.open(s)
+		if h.owned.opened {
+			h.open(s)
+		}
 	}
 	for name, l := range h.lanes {
 		if kept[name] {
