lane: fewer heartbeats for members that nobody uses

Cause: a proxy holds several lanes, and each asked two members four times a second and listed locks twice, used or not. Change: members without transactions for 2 s get a heartbeat each second and a check of the locks every two. A state that came with an answer spares a heartbeat. Conclusion: tests pass; the traffic of idle lanes is not measured yet.

--- a/lane/beat.go
+++ b/lane/beat.go
@@ -9,9 +9,18 @@
 )
 
 const (
-	// beatInterval is the time between two heartbeats.
+	// beatInterval is the time between two heartbeats of a member that is in use or gives no answer.
 	beatInterval = 250 * time.Millisecond
 
+	// idleBeat is the time between two heartbeats of other members.
+	idleBeat = time.Second
+
+	// idleAfter is the time after which a member without transactions isn't in use.
+	idleAfter = 2 * time.Second
+
+	// replyFresh is the age up to which a state that came with an answer spares a heartbeat.
+	replyFresh = 200 * time.Millisecond
+
 	// beatWait bounds a heartbeat.
 	beatWait = 600 * time.Millisecond
 
@@ -22,18 +31,44 @@
 // beat asks the member, and the primary if that is another one, for their states until the lane is
 // stopped.
 func (l *lane) beat() {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for {
+	for l.ctx.Err() == nil {
+		began := time.Now()
 		l.beatOnce()
 		select {
-		case <-ticker.C:
+		case <-time.After(l.beatEvery() - time.Since(began)):
+		case <-l.stirred:
 		case <-l.ctx.Done():
-			return
 		}
 	}
 }
 
+// stir notes that a transaction begins. The heartbeats of a member that wasn't in use speed up at
+// once. The caller has mu.
+func (l *lane) stir(now time.Time) {
+	if !l.inUse(now) {
+		select {
+		case l.stirred <- struct{}{}:
+		default:
+		}
+	}
+	l.used = now
+}
+
+// beatEvery returns the time between two heartbeats.
+func (l *lane) beatEvery() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inUse(time.Now()) || l.missed > 0 {
+		return beatInterval
+	}
+	return idleBeat
+}
+
+// inUse reports whether transactions run or have begun of late. The caller has mu.
+func (l *lane) inUse(now time.Time) bool {
+	return l.running > 0 || l.queue.Lent() > 0 || now.Sub(l.used) < idleAfter
+}
+
 func (l *lane) beatOnce() {
 	ctx, cancel := context.WithTimeout(l.ctx, beatWait)
 	defer cancel()
@@ -76,6 +111,9 @@
 // samplePrimary takes a sample of the primary's position.
 func (l *lane) samplePrimary(ctx context.Context, m egret.Member) {
 	asked := time.Now()
+	if l.sparesBeat(asked) {
+		return
+	}
 	state, err := l.holder.Control.Status(ctx, m)
 	if err != nil || state.Role != egret.RolePrimary {
 		return
@@ -91,6 +129,9 @@
 // sampleMember takes the member's heartbeat.
 func (l *lane) sampleMember(ctx context.Context) {
 	asked := time.Now()
+	if l.sparesBeat(asked) {
+		return
+	}
 	state, err := l.holder.Control.Status(ctx, l.member())
 	if err == nil {
 		l.note(state)
@@ -104,6 +145,19 @@
 	}
 }
 
+// sparesBeat reports whether a state came with an answer just now. If an answer is missing, the
+// heartbeat is needed to find out why.
+func (l *lane) sparesBeat(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.active {
+		if c.silence.at(now) > silentWait/2 {
+			return false
+		}
+	}
+	return now.Sub(l.state.Sampled) < replyFresh
+}
+
 // note takes over a state of the member, unless a later one is known.
 func (l *lane) note(state egret.MemberState) {
 	l.mu.Lock()
--- a/lane/keeper.go
+++ b/lane/keeper.go
@@ -55,6 +55,9 @@
 		k.settled = true
 		k.lane.cut(len(k.slots))
 	}
+	if time.Since(k.checked) < k.lane.checkEvery() && len(k.slots) == k.lane.wantedSlots() {
+		return nil
+	}
 	if time.Since(k.checked) < slotCheck {
 		return nil
 	}
@@ -64,7 +67,7 @@
 
 // wait waits until the lane wants something, or until the next try or check.
 func (k *keeper) wait() {
-	next := slotCheck
+	next := k.lane.checkEvery()
 	if len(k.slots) < k.lane.wantedSlots() {
 		next = slotRetry
 	}
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -33,6 +33,9 @@
 	// wake makes the keeper of the slots look again. It has room for one.
 	wake chan struct{}
 
+	// stirred makes the heartbeats speed up. It has room for one.
+	stirred chan struct{}
+
 	// confirmer asks the other members for confirmations.
 	confirmer *confirmer
 
@@ -69,6 +72,9 @@
 	// leavingSince is when the member was first said to leave. It is zero while it stays.
 	leavingSince time.Time
 
+	// used is when a transaction last began.
+	used time.Time
+
 	// state is the member's last known state.
 	state egret.MemberState
 
@@ -88,11 +94,12 @@
 func newLane(h *Holder, s settings) *lane {
 	ctx, stop := context.WithCancel(h.ctx)
 	l := &lane{
-		holder: h,
-		name:   s.member.Name,
-		ctx:    ctx,
-		stop:   stop,
-		wake:   make(chan struct{}, 1),
+		holder:  h,
+		name:    s.member.Name,
+		ctx:     ctx,
+		stop:    stop,
+		wake:    make(chan struct{}, 1),
+		stirred: make(chan struct{}, 1),
 		confirmer: &confirmer{
 			ctx:     ctx,
 			control: h.Control,
@@ -184,6 +191,7 @@
 		l.holder.Metrics.count(f)
 		return nil, f
 	}
+	l.stir(now)
 	return &transaction{
 		lane:     l,
 		opening:  o,
--- a/lane/slots.go
+++ b/lane/slots.go
@@ -12,9 +12,12 @@
 	// slotWait bounds each call on the connection that holds the slot locks.
 	slotWait = time.Second
 
-	// slotCheck is how often the locks are listed.
+	// slotCheck is how often the locks are listed while the member is in use or locks are lacking.
 	slotCheck = 500 * time.Millisecond
 
+	// idleCheck is how often they are listed otherwise.
+	idleCheck = 2 * time.Second
+
 	// slotRetry is how often locks that another proxy holds are tried.
 	slotRetry = 20 * time.Millisecond
 
@@ -165,6 +168,16 @@
 	return max(needed, min(l.held, (slots+1)/2))
 }
 
+// checkEvery is how often the locks are listed when none is lacking.
+func (l *lane) checkEvery() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inUse(time.Now()) {
+		return slotCheck
+	}
+	return idleCheck
+}
+
 func (l *lane) allSlots() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
