--- /dev/null
+++ b/egretlab/front/drivers_test.go
@@ -0,0 +1,391 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// manyRows is how many rows the large result has.
+const manyRows = 200_000
+
+// TestDrivers runs a driver in all its modes, and what callers may meet, against one set.
+func TestDrivers(t *testing.T) {
+	s := startSet(t, setup{})
+	for _, m := range []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	} {
+		t.Run(m.String(), func(t *testing.T) {
+			c := s.config(0, "")
+			c.DefaultQueryExecMode = m
+			checkMode(t, s.connectConfig(c), m.String())
+		})
+	}
+	for _, c := range []struct {
+		name  string
+		check func(t *testing.T, s *set)
+	}{
+		{name: "batch", check: checkBatch},
+		{name: "transactions", check: checkTransactions},
+		{name: "own statements", check: checkOwnStatements},
+		{name: "session state", check: checkSessionState},
+		{name: "read-only", check: checkReadOnly},
+		{name: "cancel", check: checkCancel},
+		{name: "over the limit", check: checkLimit},
+		{name: "strangers", check: checkStrangers},
+		{name: "tokens", check: checkTokens},
+		{name: "tables", check: checkTables},
+		{name: "large result", check: checkLargeResult},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.check(t, s)
+		})
+	}
+}
+
+// checkMode places orders, reads them and meets an error, twice over, so that statements are used again.
+func checkMode(t *testing.T, conn *pgx.Conn, name string) {
+	ctx := limited(t)
+	for i := range 3 {
+		id := fmt.Sprintf("%s-%d", strings.ReplaceAll(name, " ", "-"), i)
+		tag, err := conn.Exec(ctx, "INSERT INTO orders (id, item) VALUES ($1, $2) /*kind='order'*/", id, "sieve 2mm")
+		if err != nil || tag.RowsAffected() != 1 {
+			t.Fatalf("order %s: %v, %v", id, tag, err)
+		}
+		item := ""
+		if err := conn.QueryRow(ctx, "SELECT item FROM orders WHERE id = $1", id).Scan(&item); err != nil || item != "sieve 2mm" {
+			t.Errorf("read %q, %v", item, err)
+		}
+		_, err = conn.Exec(ctx, "INSERT INTO orders (id, item) VALUES ($1, $2) /*kind='order'*/", id, "again")
+		wantCode(t, "a doubled order", err, "23505")
+		err = conn.QueryRow(ctx, "SELECT nothing FROM orders WHERE id = $1", id).Scan(&item)
+		wantCode(t, "an unknown column", err, "42703")
+	}
+}
+
+func checkBatch(t *testing.T, s *set) {
+	conn := s.connect(0, "")
+	b := &pgx.Batch{}
+	b.Queue("INSERT INTO orders (id, item) VALUES ($1, $2)", "batch-1", "a")
+	b.Queue("INSERT INTO orders (id, item) VALUES ($1, $2)", "batch-2", "b")
+	b.Queue("SELECT item FROM orders WHERE id = $1", "batch-2")
+	r := conn.SendBatch(limited(t), b)
+	for range 2 {
+		if _, err := r.Exec(); err != nil {
+			t.Error(err)
+		}
+	}
+	item := ""
+	if err := r.QueryRow().Scan(&item); err != nil || item != "b" {
+		t.Errorf("read %q, %v", item, err)
+	}
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+	failing := &pgx.Batch{}
+	failing.Queue("INSERT INTO orders (id, item) VALUES ($1, $2)", "batch-3", "a")
+	failing.Queue("INSERT INTO orders (id, item) VALUES ($1, $2)", "batch-1", "a")
+	wantCode(t, "a batch with a doubled order", conn.SendBatch(limited(t), failing).Close(), "23505")
+	if n := count(t, conn, "batch-3"); n != 0 {
+		t.Errorf("%d orders of a refused batch, want 0", n)
+	}
+}
+
+func count(t *testing.T, conn *pgx.Conn, id string) int {
+	t.Helper()
+	n := 0
+	if err := conn.QueryRow(limited(t), "SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n); err != nil {
+		t.Error(err)
+	}
+	return n
+}
+
+func checkTransactions(t *testing.T, s *set) {
+	ctx := limited(t)
+	conn := s.connect(0, "")
+	for _, commit := range []bool{true, false} {
+		id := fmt.Sprintf("transaction-%v", commit)
+		tx, err := conn.Begin(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.Exec(ctx, "INSERT INTO orders (id, item) VALUES ($1, 'a')", id); err != nil {
+			t.Error(err)
+		}
+		if n := count(t, conn, id); n != 1 {
+			t.Errorf("%s: %d orders inside of the transaction", id, n)
+		}
+		want := 0
+		if commit {
+			want = 1
+			err = tx.Commit(ctx)
+		} else {
+			err = tx.Rollback(ctx)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+		if n := count(t, conn, id); n != want {
+			t.Errorf("%s: %d orders, want %d", id, n, want)
+		}
+	}
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = tx.Exec(ctx, "INSERT INTO orders (id, item) VALUES ('transaction-true', 'a')")
+	wantCode(t, "a doubled order", err, "23505")
+	_, err = tx.Exec(ctx, "SELECT 1")
+	wantCode(t, "a statement in a failed transaction", err, "25P02")
+	if err := tx.Commit(ctx); !errors.Is(err, pgx.ErrTxCommitRollback) {
+		t.Errorf("commit of a failed transaction: %v", err)
+	}
+}
+
+func checkOwnStatements(t *testing.T, s *set) {
+	ctx := limited(t)
+	conn := s.connect(1, "")
+	if _, err := conn.Exec(ctx, "INSERT INTO orders (id, item) VALUES ('own', 'a')"); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]string{
+		"node": "proxy-2", "member": "member-1", "position": "1/", "token": conn.PgConn().ParameterStatus("egretlane.token"),
+	} {
+		got := ""
+		if err := conn.QueryRow(ctx, "SHOW egretlane."+name).Scan(&got); err != nil || !strings.HasPrefix(got, want) {
+			t.Errorf("SHOW egretlane.%s = %q, %v, want %q", name, got, err, want)
+		}
+	}
+	// As psql sends it.
+	r, err := conn.PgConn().Exec(ctx, "SHOW egretlane.node; ").ReadAll()
+	if err != nil || string(r[0].Rows[0][0]) != "proxy-2" {
+		t.Errorf("SHOW in a simple query: %v, %v", r, err)
+	}
+	if r, err := conn.PgConn().Exec(ctx, "SELECT 1; SELECT 2").ReadAll(); err != nil || len(r) != 2 {
+		t.Errorf("two statements: %d results, %v", len(r), err)
+	}
+	if r, err := conn.PgConn().Exec(ctx, ";").ReadAll(); err != nil || len(r) > 1 {
+		t.Errorf("an empty query: %d results, %v", len(r), err)
+	}
+}
+
+// checkSessionState checks that what would stay behind on a shared connection is refused, and that the
+// session goes on.
+func checkSessionState(t *testing.T, s *set) {
+	ctx := limited(t)
+	conn := s.connect(0, "")
+	for _, query := range []string{
+		"SET search_path = other", "LISTEN news", "PREPARE p AS SELECT 1", "DECLARE c CURSOR FOR SELECT 1",
+		"COPY orders TO STDOUT", "CREATE TEMP TABLE t (a int)", "SELECT 1; SET timezone = 'UTC'",
+	} {
+		_, err := conn.Exec(ctx, query)
+		wantCode(t, query, err, "0A000")
+	}
+	_, err := conn.CopyFrom(ctx, pgx.Identifier{"orders"}, []string{"id", "item"}, pgx.CopyFromRows([][]any{{"copy", "a"}}))
+	wantCode(t, "COPY FROM", err, "0A000")
+	if n := count(t, conn, "copy"); n != 0 {
+		t.Errorf("%d orders of a refused copy", n)
+	}
+}
+
+func checkReadOnly(t *testing.T, s *set) {
+	ctx := limited(t)
+	conn := s.connect(0, "")
+	if _, err := conn.Exec(ctx, "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY"); err != nil {
+		t.Fatal(err)
+	}
+	started := s.connect(1, "default_transaction_read_only=on")
+	for _, c := range []*pgx.Conn{conn, started} {
+		tx, err := c.Begin(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = tx.Exec(ctx, "INSERT INTO orders (id, item) VALUES ('read-only', 'a')")
+		wantCode(t, "a write in a read-only session's transaction", err, "25006")
+		if err := tx.Rollback(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+	tx, err := s.connect(0, "").BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "SELECT item FROM orders WHERE id = 'x'"); err != nil {
+		t.Error(err)
+	}
+	if err := tx.Commit(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// checkCancel cancels through the session's own proxy, through the other one, and with a wrong secret.
+func checkCancel(t *testing.T, s *set) {
+	for i, name := range []string{"its own proxy", "another proxy"} {
+		conn := s.connect(0, "").PgConn()
+		ended := make(chan error, 1)
+		began := time.Now()
+		go func() {
+			_, err := conn.Exec(context.Background(), "SELECT pg_sleep(8) /*kind='slow'*/").ReadAll()
+			ended <- err
+		}()
+		until(t, "the cancel", func() error {
+			if err := cancel(s.proxies[i].callers.String(), conn.PID(), conn.SecretKey()); err != nil {
+				return err
+			}
+			select {
+			case err := <-ended:
+				wantCode(t, "a statement canceled through "+name, err, "57014")
+				return nil
+			case <-time.After(100 * time.Millisecond):
+				return errors.New("the statement still runs")
+			}
+		})
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("%s: the cancel took %v", name, took)
+		}
+		if _, err := conn.Exec(limited(t), "SELECT 1").ReadAll(); err != nil {
+			t.Errorf("after the cancel through %s: %v", name, err)
+		}
+	}
+	conn := s.connect(0, "").PgConn()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(0.5) /*kind='slow'*/").ReadAll()
+		ended <- err
+	}()
+	for {
+		if err := cancel(s.proxies[0].callers.String(), conn.PID(), make([]byte, 4)); err != nil {
+			t.Error(err)
+		}
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("a cancel with a wrong secret: %v", err)
+			}
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func checkLimit(t *testing.T, s *set) {
+	ctx := limited(t)
+	conn := s.connect(0, "")
+	half := strings.Repeat("x", statementLimit*2/3)
+	b := &pgx.Batch{}
+	b.Queue("SELECT item FROM orders WHERE id = $1", half)
+	b.Queue("SELECT item FROM orders WHERE id = $1", half)
+	wantCode(t, "a batch over the limit", conn.SendBatch(ctx, b).Close(), "54000")
+	if n := count(t, conn, "x"); n != 0 {
+		t.Errorf("%d orders", n)
+	}
+	_, err := conn.PgConn().Exec(ctx, "SELECT '"+strings.Repeat("x", statementLimit)+"'").ReadAll()
+	wantCode(t, "a statement over the limit", err, "54000")
+	s.connect(0, "")
+}
+
+func checkStrangers(t *testing.T, s *set) {
+	c := s.config(0, "")
+	c.User = "stranger"
+	s.refuse("an unknown caller", c, "28000")
+	c = s.config(0, "")
+	c.Database = "nowhere"
+	s.refuse("an unknown database", c, "3D000")
+	conn := s.connect(0, "")
+	_, err := conn.Exec(limited(t), "SELECT 1 /*kind='unheard'*/")
+	wantCode(t, "an unknown kind", err, "3D000")
+	_, err = conn.Exec(limited(t), "SELECT 1 /*group='unheard'*/")
+	wantCode(t, "an unknown group", err, "3D000")
+}
+
+func checkTokens(t *testing.T, s *set) {
+	conn := s.connect(0, "")
+	if _, err := conn.Exec(limited(t), "INSERT INTO orders (id, item) VALUES ('token', 'a')"); err != nil {
+		t.Fatal(err)
+	}
+	token := conn.PgConn().ParameterStatus("egretlane.token")
+	c := s.config(1, "")
+	c.RuntimeParams["egretlane.token"] = token
+	moved := s.connectConfig(c)
+	if n := count(t, moved, "token"); n != 1 {
+		t.Errorf("the moved session reads %d orders, want 1", n)
+	}
+	for what, bad := range map[string]string{
+		"a token cut short": token[:len(token)-2],
+		"a changed token":   "A" + strings.ToLower(token[1:]),
+		"no token at all":   "nonsense!",
+	} {
+		c := s.config(1, "")
+		c.RuntimeParams["egretlane.token"] = bad
+		s.refuse(what, c, "28P01")
+	}
+	foreign := s.config(1, "")
+	foreign.RuntimeParams["options"] = "-c egretlane.token=" + strings.Repeat("QUJD", 20)
+	s.refuse("a foreign token in the options", foreign, "28P01")
+}
+
+// checkTables checks that tables with faults are refused with their places and change nothing.
+func checkTables(t *testing.T, s *set) {
+	s.write("broken.yaml", "routes:\n  - {name: a, caller: workshop, database: d, pool: nowhere, budget: 5}\npools: 7\n")
+	out, status := s.ctl("apply", s.path("broken.yaml"))
+	if status != 3 {
+		t.Errorf("exit status %d, want 3\n%s", status, out)
+	}
+	for _, want := range []string{"broken.yaml:2:", "broken.yaml:3:8", "nothing was changed"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("the output lacks %q:\n%s", want, out)
+		}
+	}
+	if _, err := s.connect(0, "").Exec(limited(t), "SELECT 1"); err != nil {
+		t.Error(err)
+	}
+}
+
+func checkLargeResult(t *testing.T, s *set) {
+	ctx := limited(t)
+	direct, err := pgconn.Connect(ctx, fmt.Sprintf("host=127.0.0.1 port=%d user=%s dbname=%s sslmode=disable", s.members[0].Port(), user, database))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer direct.Close(ctx)
+	const part = 10_000
+	for first := 0; first < manyRows; first += part {
+		values := make([]string, part)
+		for i := range values {
+			values[i] = fmt.Sprintf("('row-%06d', 'sieve')", first+i)
+		}
+		if _, err := direct.Exec(ctx, "INSERT INTO orders (id, item) VALUES "+strings.Join(values, ", ")).ReadAll(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	conn := s.connect(1, "")
+	rows, err := conn.Query(ctx, "SELECT id, item FROM orders ORDER BY id")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rows.Close()
+	n, last := 0, ""
+	for rows.Next() {
+		id, item := "", ""
+		if err := rows.Scan(&id, &item); err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(id, "row-") {
+			if want := fmt.Sprintf("row-%06d", n); id != want {
+				t.Fatalf("row %q after %q, want %q", id, last, want)
+			}
+			n++
+			last = id
+		}
+	}
+	if rows.Err() != nil || n != manyRows {
+		t.Errorf("%d rows, %v, want %d", n, rows.Err(), manyRows)
+	}
+}
--- /dev/null
+++ b/egretlab/front/main_test.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+// TestMain builds the three programs once for all tests.
+func TestMain(m *testing.M) {
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M) (int, error) {
+	dir, err := os.MkdirTemp("", "egret-front-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	for _, name := range []string{"egretlane", "egretctl", "egretlab"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(programs, name), ".")
+		cmd.Dir = filepath.Join("..", "..", name)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return 0, fmt.Errorf("building %s: %w\n%s", name, err, out)
+		}
+	}
+	return m.Run(), nil
+}
--- a/member/dialer.go
+++ b/member/dialer.go
@@ -95,7 +95,7 @@
 	config.User = d.User
 	config.Password = d.Password
 	config.Database = d.Database
-	config.TLSConfig = d.TLS
+	config.TLSConfig = d.tls(m)
 	config.ConnectTimeout = 0
 	config.Fallbacks = nil
 	config.ValidateConnect = nil
@@ -106,6 +106,17 @@
 	return config, nil
 }
 
+// tls returns the configuration for a member, whose certificate has to name the address of the tables,
+// whatever address is dialled in its place.
+func (d *Dialer) tls(m egret.Member) *tls.Config {
+	if d.TLS == nil {
+		return nil
+	}
+	c := d.TLS.Clone()
+	c.ServerName = m.Address.Addr().String()
+	return c
+}
+
 func (d *Dialer) resolve(a netip.AddrPort) netip.AddrPort {
 	if d.Addresses == nil {
 		return a
