--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"egretlane.example/egret"
+)
+
+// BenchmarkIdleSessions reports what an idle session costs in the proxy, in bytes of heap and stack.
+// The caller's end of the connection is in the figure too.
+func BenchmarkIdleSessions(b *testing.B) {
+	for _, sessions := range []int{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprint(sessions), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(idleBytes(b, sessions), "bytes/session")
+			}
+		})
+	}
+}
+
+func idleBytes(b *testing.B, sessions int) float64 {
+	b.Helper()
+	tr := startTrialWith(b, sessions, func(int, egret.Opening) (egret.Completion, error) {
+		return done(egret.TxIdle, 1)
+	})
+	before := memoryInUse()
+	conns := make([]net.Conn, 0, sessions)
+	for range sessions {
+		conns = append(conns, greet(b, tr))
+	}
+	used := memoryInUse() - before
+	for _, c := range conns {
+		c.Close()
+	}
+	return float64(used) / float64(sessions)
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// greet connects and reads up to the first ReadyForQuery, with no buffers of its own.
+func greet(b *testing.B, tr *trial) net.Conn {
+	b.Helper()
+	tr.await(b)
+	c, err := net.Dial("tcp", tr.addr.String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	start, err := (&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersionNumber,
+		Parameters: map[string]string{
+			"user":     "workshop",
+			"database": "catalogo-db",
+		},
+	}).Encode(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := c.Write(start); err != nil {
+		b.Fatal(err)
+	}
+	readUntilReady(b, c)
+	return c
+}
+
+func readUntilReady(b *testing.B, c net.Conn) {
+	b.Helper()
+	header := make([]byte, 5)
+	for {
+		if _, err := io.ReadFull(c, header); err != nil {
+			b.Fatal(err)
+		}
+		length := int64(header[1])<<24 | int64(header[2])<<16 | int64(header[3])<<8 | int64(header[4])
+		if _, err := io.CopyN(io.Discard, c, length-4); err != nil {
+			b.Fatal(err)
+		}
+		if header[0] == 'Z' {
+			return
+		}
+	}
+}
+
+// BenchmarkRequest is the time of a request in the entry alone, the caller's end included.
+func BenchmarkRequest(b *testing.B) {
+	tr := startTrialWith(b, 10, func(int, egret.Opening) (egret.Completion, error) {
+		return done(egret.TxIdle, 1)
+	})
+	c := tr.connect(b, "")
+	for b.Loop() {
+		if _, err := c.Exec(context.Background(), "SELECT item FROM orders WHERE id = 'a' /*kind='stock'*/").ReadAll(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/entry/desk_test.go
+++ b/entry/desk_test.go
@@ -13,7 +13,7 @@
 	"egretlane.example/egret"
 )
 
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -169,6 +170,12 @@
 }
 
 func startTrial(t *testing.T, answer func(n int, o egret.Opening) (egret.Completion, error)) *trial {
+	t.Helper()
+	const sessions = 10
+	return startTrialWith(t, sessions, answer)
+}
+
+func startTrialWith(t testing.TB, sessions int, answer func(n int, o egret.Opening) (egret.Completion, error)) *trial {
 	t.Helper()
 	r := prometheus.NewRegistry()
 	l := &fakeLanes{
@@ -203,7 +210,7 @@
 	s := &caller.Server{
 		Listen:         freeAddress(t),
 		StatementLimit: 1 << 16,
-		SessionLimit:   10,
+		SessionLimit:   sessions,
 		Handler:        d,
 		Metrics:        caller.NewMetrics(r),
 	}
@@ -223,8 +230,9 @@
 	}
 }
 
-func (tr *trial) connect(t *testing.T, tok string) *pgconn.PgConn {
+func (tr *trial) connect(t testing.TB, tok string) *pgconn.PgConn {
 	t.Helper()
+	tr.await(t)
 	c, err := pgconn.ParseConfig("host=127.0.0.1 user=workshop dbname=catalogo-db sslmode=disable")
 	if err != nil {
 		t.Fatal(err)
@@ -233,13 +241,24 @@
 	if tok != "" {
 		c.RuntimeParams[caller.TokenParameter] = tok
 	}
+	conn, err := pgconn.ConnectConfig(context.Background(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		conn.Close(context.Background())
+	})
+	return conn
+}
+
+// await waits until the server listens.
+func (tr *trial) await(t testing.TB) {
+	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-		conn, err := pgconn.ConnectConfig(context.Background(), c)
+		c, err := net.Dial("tcp", tr.addr.String())
 		if err == nil {
-			t.Cleanup(func() {
-				conn.Close(context.Background())
-			})
-			return conn
+			c.Close()
+			return
 		}
 		if time.Now().After(deadline) {
 			t.Fatal(err)
