--- a/lane/beat.go
+++ b/lane/beat.go
@@ -138,11 +138,24 @@
 		l.cutSilentReads(state, asked)
 		return
 	}
+	if l.ctx.Err() == nil && l.miss() {
+		l.cutSilentReads(egret.MemberState{}, asked)
+	}
+}
+
+// miss counts a heartbeat without an answer, and reports whether there were too many.
+func (l *lane) miss() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ctx.Err() == nil {
-		l.missed++
-	}
+	l.missed++
+	return l.unreachable()
+}
+
+// answered notes that the member answers.
+func (l *lane) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.missed = 0
 }
 
 // sparesBeat reports whether a state came with an answer just now. If an answer is missing, the
--- a/lane/exchange_test.go
+++ b/lane/exchange_test.go
@@ -277,3 +277,18 @@
 		}
 	}
 }
+
+func TestLargeBatchAndAnswerArriveWhole(t *testing.T) {
+	b := newBench(t)
+	h, _ := b.proxy("proxy-1")
+	text := strings.Repeat("sieve 2mm ", 200_000)
+	for range 2 {
+		answer, _, err := transact(t, h, opening(true), simple("SELECT "+text))
+		if err != nil || answer != text+" done" {
+			t.Errorf("answer of %d bytes, %v, want %d bytes", len(answer), err, len(text))
+		}
+	}
+	if _, _, err := transact(t, h, opening(false), simple("INSERT 7; SELECT "+text)); err == nil {
+		t.Error("a write's answer above the limit of held bytes was taken")
+	}
+}
--- a/lane/keeper.go
+++ b/lane/keeper.go
@@ -160,6 +160,7 @@
 			held++
 		}
 	}
+	k.lane.answered()
 	k.lane.cutLost(locks, asked)
 	if held < len(k.slots) {
 		return errors.Errorf("member %s knows of %d of %d locks", k.lane.name, held, len(k.slots))
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -78,7 +78,7 @@
 	// state is the member's last known state.
 	state egret.MemberState
 
-	// missed is how many heartbeats in a row got no answer.
+	// missed is how many heartbeats got no answer since the member last answered anything.
 	missed int
 
 	// silent is when a connection was last found to have gone silent.
@@ -228,8 +228,9 @@
 	return l.state.Role != egret.RolePrimary || now.Sub(l.leavingSince) > leavingWait
 }
 
+// unreachable reports whether the member gives no answer on any connection. The caller has mu.
 func (l *lane) unreachable() bool {
-	return l.held == 0 && l.missed >= missedBeats
+	return l.missed >= missedBeats
 }
 
 func (l *lane) noMember() *egret.Failure {
--- a/lane/silent.go
+++ b/lane/silent.go
@@ -38,8 +38,8 @@
 }
 
 // cutSilentReads ends connections whose statement got no answer although the member, asked long
-// after, runs none: the request or the answer was lost on the way. Writes are left alone, since one
-// that waits for a lock doesn't count as running.
+// after, runs none or gives no answer: the request or the answer was lost on the way. Writes are left
+// alone, since one that waits for a lock doesn't count as running.
 func (l *lane) cutSilentReads(state egret.MemberState, asked time.Time) {
 	if state.Running > 0 {
 		return
