--- a/egretlab/load/failure.go
+++ b/egretlab/load/failure.go
@@ -24,9 +24,13 @@
 	// KindFrozen stops the primary's process until another member leads.
 	KindFrozen Kind = "frozen"
 
-	// KindCut cuts the primary off from all other failure domains.
+	// KindCut cuts the primary off from all other failure domains. The proxies of its own domain
+	// reach it and all else.
 	KindCut Kind = "cut"
 
+	// KindCutDomain cuts the primary's failure domain off from all else, its proxies too.
+	KindCutDomain Kind = "cut-domain"
+
 	// KindCutRegion cuts the regions apart, with the primary on the smaller side.
 	KindCutRegion Kind = "cut-one-region"
 )
@@ -34,10 +38,10 @@
 // Check reports whether the kind is known.
 func (k Kind) Check() error {
 	switch k {
-	case KindKilled, KindFrozen, KindCut, KindCutRegion:
+	case KindKilled, KindFrozen, KindCut, KindCutDomain, KindCutRegion:
 		return nil
 	default:
-		return errors.NotValidf("failure %q (killed, frozen, cut, cut-one-region)", k)
+		return errors.NotValidf("failure %q (killed, frozen, cut, cut-domain, cut-one-region)", k)
 	}
 }
 
@@ -50,6 +54,8 @@
 		return t.signal(m, syscall.SIGSTOP)
 	case KindCut:
 		return t.post(ctx, t.Set.LinksOperator(), fmt.Sprintf("/cut?from=%s&to=*", m.Name))
+	case KindCutDomain:
+		return t.post(ctx, t.Set.LinksOperator(), fmt.Sprintf("/cut?from=%s&to=*", m.Domain.Name))
 	default:
 		regions := t.Set.Regions()
 		return t.post(ctx, t.Set.LinksOperator(), fmt.Sprintf("/cut?from=%s&to=%s", regions[0], regions[1]))
--- a/egretlab/measure.go
+++ b/egretlab/measure.go
@@ -74,7 +74,7 @@
 		textFlag(&s.think, "think", "EGRETLAB_THINK", "1s", "mean `DURATION` between a caller's requests"),
 		textFlag(&s.format, "format", "EGRETLAB_FORMAT", "table", "`FORMAT` of the result: table or json"),
 		textFlag(&s.failures, "failures", "EGRETLAB_FAILURES", "10", "`NUMBER` of failures"),
-		textFlag(&s.failure, "failure", "EGRETLAB_FAILURE", "", "`KIND` of failure: killed, frozen, cut or cut-one-region; none compares the policies"),
+		textFlag(&s.failure, "failure", "EGRETLAB_FAILURE", "", "`KIND` of failure: killed, frozen, cut, cut-domain or cut-one-region; none compares the policies"),
 		textFlag(&s.store, "store", "EGRETLAB_STORE", "up", "`STATE` of the store under failures: up or down"),
 		textFlag(&s.slow, "slow-primaries", "EGRETLAB_SLOW_PRIMARIES", "", "`DURATION` of slow but living primaries"),
 		textFlag(&s.commit, "commit", "EGRETLAB_COMMIT", "", "`COMMIT` that is measured, for the result"),
