lane: a span for the member, a line when a member goes or comes back

Change: besides the span and the lines, a command completed in a read-only transaction doesn't keep a refused batch from being run elsewhere, since it had no effect.

--- a/lane/beat.go
+++ b/lane/beat.go
@@ -148,6 +148,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.missed++
+	if l.missed == missedBeats {
+		l.holder.note(l.name, "member gives no answer")
+	}
 	return l.unreachable()
 }
 
@@ -155,6 +158,9 @@
 func (l *lane) answered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.unreachable() {
+		l.holder.note(l.name, "member answers again")
+	}
 	l.missed = 0
 }
 
@@ -173,9 +179,9 @@
 
 // note takes over a state of the member, unless a later one is known.
 func (l *lane) note(state egret.MemberState) {
+	l.answered()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.missed = 0
 	if state.Sampled.After(l.state.Sampled) {
 		l.state = state
 	}
--- a/lane/exchange.go
+++ b/lane/exchange.go
@@ -53,7 +53,8 @@
 	// sunk says that bytes went to the caller.
 	sunk bool
 
-	// effects says that a command was completed that may have had an effect.
+	// effects says that a command was completed that may have had an effect. Nothing in a read-only
+	// transaction has one.
 	effects bool
 
 	// wrote says that a command was completed that may have written.
@@ -84,6 +85,17 @@
 	dirty bool
 }
 
+// runTraced is run with a span.
+func (e *exchange) runTraced(ctx context.Context) error {
+	ctx, span := tracer.Start(ctx, "member.exchange")
+	defer span.End()
+	err := e.run(ctx)
+	if err != nil {
+		span.RecordError(err)
+	}
+	return err
+}
+
 // run sends the pipeline and takes in the answer. An error says that the answer isn't whole.
 func (e *exchange) run(ctx context.Context) error {
 	e.conn.wire.SetDeadline(time.Time{})
@@ -226,7 +238,7 @@
 // takeCommand holds back the end of a write and what follows it.
 func (e *exchange) takeCommand(m *pgproto3.CommandComplete) error {
 	tag := string(m.CommandTag)
-	e.effects = e.effects || hasEffect(tag)
+	e.effects = e.effects || hasEffect(tag) && !e.opening.ReadOnly
 	inBlock := e.status != egret.TxIdle || e.pipeline.opens
 	if writesTag(tag, e.opening.ReadOnly, inBlock) && !e.wrote {
 		e.wrote = true
--- a/lane/transact.go
+++ b/lane/transact.go
@@ -188,7 +188,7 @@
 	t.lane.activate(c, t.opening.ReadOnly)
 	defer t.lane.deactivate(c)
 	t.begun = true
-	if err := e.run(ctx); err != nil {
+	if err := e.runTraced(ctx); err != nil {
 		e.dirty = true
 		return e.broken(err)
 	}
