docs: operations, tables and the settings of all programs

OPERATIONS.md has a section for each failure, rolling restarts, alerts and all counters. TABLES.md has each key, its default and range, how to change tables, and exit statuses. SETTINGS.md now has the flags of egretctl and egretlab too. Tests hold the pages against the code: each metric is on the page and the page names no other; each key and exit status is explained and the example has no findings; settings are made from the flags.

Cause of the changes in egretlane: the page's questions had no counter. How far a member is behind and whether it answers were in the status only, and the store's calls were counted but not shown. Change: the gauges egretlane_lane_lag_seconds and egretlane_lane_reached, and the store's client is registered.

--- a/egretlane/providers.go
+++ b/egretlane/providers.go
@@ -79,7 +79,7 @@
 		Key:    c.TablesKey,
 		Logger: l,
 	}
-	r.MustRegister(k)
+	r.MustRegister(k, s)
 	return k
 }
 
@@ -156,7 +156,7 @@
 }
 
 func newHolder(m *peer.Mesh, c *member.Control, d *member.Dialer, b *leave.Board, r *prometheus.Registry, l *log.Logger) *lane.Holder {
-	return &lane.Holder{
+	h := &lane.Holder{
 		Peers:   m,
 		Control: c,
 		Dialer:  d,
@@ -164,6 +164,10 @@
 		Metrics: lane.NewMetrics(r),
 		Log:     l,
 	}
+	r.MustRegister(&memberGauges{
+		status: h.Status,
+	})
+	return h
 }
 
 func leavingNow(b *leave.Board) func(member string) bool {
--- a/egretlane/settings_test.go
+++ b/egretlane/settings_test.go
@@ -1,40 +1,33 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/urfave/cli/v3"
+
+	"egretlane.example/egret/internal/pages"
 )
 
-// settingsPage is the page that is made from the flags. With UPDATE_GOLDEN=1 the test writes it.
+// settingsPage has a section that is made from the flags. With UPDATE_GOLDEN=1 the test writes it.
 const settingsPage = "../docs/SETTINGS.md"
 
 func TestSettingsPage(t *testing.T) {
 	s := &Settings{}
-	var b strings.Builder
-	b.WriteString("# Settings\n\nMade from the flags of `egretlane`. Each flag has an environment variable; the flag goes first.\n")
-	b.WriteString("All faults in the settings are reported together at the start.\n\n")
-	b.WriteString("| flag | environment | default | meaning |\n|---|---|---|---|\n")
-	for _, f := range s.flags() {
-		d := f.(cli.DocGenerationFlag)
-		name := f.Names()[0]
-		fmt.Fprintf(&b, "| `--%s` | `%s` | %s | %s |\n", name, strings.Join(d.GetEnvVars(), ", "), code(d.GetValue()), d.GetUsage())
+	data, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
 	}
+	want := pages.Flags("", s.flags())
 	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		if err := os.WriteFile(settingsPage, []byte(b.String()), 0o644); err != nil {
+		data = []byte(pages.Replace(string(data), "egretlane", want))
+		if err := os.WriteFile(settingsPage, data, 0o644); err != nil {
 			t.Fatal(err)
 		}
 	}
-	want, err := os.ReadFile(settingsPage)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), b.String()); diff != "" {
-		t.Errorf("%s differs from the flags (-page +flags):\n%s", settingsPage, diff)
+	if diff := cmp.Diff(want, pages.Section(string(data), "egretlane")); diff != "" {
+		t.Errorf("%s differs from the flags (-flags +page):\n%s", settingsPage, diff)
 	}
 }
 
@@ -62,10 +55,3 @@
 		}
 	}
 }
-
-func code(value string) string {
-	if value == "" {
-		return ""
-	}
-	return "`" + value + "`"
-}
--- /dev/null
+++ b/internal/pages/pages_test.go
@@ -0,0 +1,21 @@
+package pages
+
+import "testing"
+
+func TestSections(t *testing.T) {
+	const page = "# Title\n\n## one\n\nfirst\n\n## two\n\nsecond\n"
+	for name, want := range map[string]string{"one": "first", "two": "second", "three": ""} {
+		if got := Section(page, name); got != want {
+			t.Errorf("Section(%s) = %q, want %q", name, got, want)
+		}
+	}
+	for _, name := range []string{"one", "two"} {
+		changed := Replace(page, name, "new")
+		if got := Section(changed, name); got != "new" {
+			t.Errorf("after Replace(%s) the section is %q", name, got)
+		}
+		if back := Replace(changed, name, Section(page, name)); back != page {
+			t.Errorf("Replace(%s) twice gives %q", name, back)
+		}
+	}
+}
--- a/spans/spans.go
+++ b/spans/spans.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/juju/errors"
 	"go.opentelemetry.io/otel"
@@ -44,6 +45,9 @@
 	// Export says where spans go.
 	Export Export
 
+	// Output takes what ExportStdout prints. Nil means the standard output.
+	Output io.Writer
+
 	// Node is the proxy's ID.
 	Node string
 
@@ -78,7 +82,10 @@
 func (p Provider) exporter(ctx context.Context) (trace.SpanExporter, error) {
 	switch p.Export {
 	case ExportStdout:
-		return stdouttrace.New()
+		if p.Output == nil {
+			return stdouttrace.New()
+		}
+		return stdouttrace.New(stdouttrace.WithWriter(p.Output))
 	case ExportOTLP:
 		return otlptracegrpc.New(ctx)
 	default:
