--- a/lane/confirm.go
+++ b/lane/confirm.go
@@ -10,10 +10,10 @@
 
 const (
 	// awaitWait is how long a member is asked to wait for a position at once.
-	awaitWait = 500 * time.Millisecond
+	awaitWait = 150 * time.Millisecond
 
 	// awaitGrace is how much longer its answer may take.
-	awaitGrace = 500 * time.Millisecond
+	awaitGrace = 2 * time.Second
 )
 
 // confirm waits until a majority of the group has a write: the primary and as many others as make
--- a/lane/floor.go
+++ b/lane/floor.go
@@ -14,7 +14,7 @@
 	floorAsk = 20 * time.Millisecond
 
 	// floorGrace is how much longer its answer may take.
-	floorGrace = 500 * time.Millisecond
+	floorGrace = 2 * time.Second
 )
 
 // requirer is what a Control may offer besides: waiting for what a member's reads see.
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -81,9 +81,6 @@
 	// missed is how many heartbeats got no answer since the member last answered anything.
 	missed int
 
-	// silent is when a connection was last found to have gone silent.
-	silent time.Time
-
 	// ages tells how old the member's data is.
 	ages ages
 
--- a/lane/metric.go
+++ b/lane/metric.go
@@ -172,6 +172,8 @@
 		return "leaving"
 	case egret.ReasonConfirm:
 		return "confirm"
+	case egret.ReasonRefused:
+		return "refused"
 	default:
 		return "other"
 	}
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -39,19 +39,20 @@
 		if c == nil {
 			return l.dial(ctx)
 		}
-		if !l.needsCheck(c) || c.answers() {
+		if time.Since(c.used) < checkAfter || c.answers() {
 			return c, nil
 		}
 		l.discard(c, closedSilent)
+		l.distrust()
 	}
 }
 
-// needsCheck reports whether a connection may have gone silent: it was unused for long, or another
-// one has gone silent since it was used.
-func (l *lane) needsCheck(c *conn) bool {
+// distrust closes all idle connections, since one was found to have gone silent: what made it silent
+// may have done so to the others, and new ones are cheaper than to find out.
+func (l *lane) distrust() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(c.used) >= checkAfter || !c.used.After(l.silent)
+	l.dropIdle(time.Time{}, closedSilent)
 }
 
 // takeIdle takes the connection that was used last, of those whose setting fits if there are any.
--- a/lane/silent.go
+++ b/lane/silent.go
@@ -64,7 +64,7 @@
 	defer l.mu.Unlock()
 	for _, c := range l.active {
 		if lost(c) {
-			l.silent = time.Now()
+			l.dropIdle(time.Time{}, closedSilent)
 			c.wire.Close()
 		}
 	}
--- a/lane/slots.go
+++ b/lane/slots.go
@@ -131,7 +131,7 @@
 func (l *lane) endOverdue(o overdue) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent = time.Now()
+	l.dropIdle(time.Time{}, closedSilent)
 	l.overdue = append(l.overdue, o)
 	l.nudge()
 }
