entry: a token no longer stands in for a confirmed floor

Cause: a session that hands back a token older than its last write read without that write: 5 of 5 reads in proof TestReadYourWritesOldToken. The token alone can't tell. Ruled out: a clock in the token (two machines' clocks are never compared); the last write of each session kept by the primary's lane (sound only with a check of the slot locks behind each commit; to be tried next). Change: each session's first read of a group takes the group's confirmed position, token or not. The token keeps a session's reads from going back when it moves; it no longer saves the look-up.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -119,7 +119,6 @@
 	if c.Start.Token != "" {
 		// Admit has opened this token before.
 		s.floor, _ = d.Sealer.Open(c.Start.User, c.Start.Database, c.Start.Token)
-		s.hasToken = true
 	}
 	d.add(s)
 	defer d.remove(s)
--- a/entry/session.go
+++ b/entry/session.go
@@ -27,9 +27,6 @@
 	// floor is what the session has written or read.
 	floor egret.Floor
 
-	// hasToken says that the floor came with the caller.
-	hasToken bool
-
 	// raised has the time at which the floor of a group was last raised. A group that is missing
 	// has none, or one that the caller's token brought.
 	raised map[string]time.Time
--- a/entry/try.go
+++ b/entry/try.go
@@ -126,11 +126,12 @@
 	}
 }
 
-// settleFloor gives a session that brought no token its floor, once for each group: the group's
-// position now, as confirmed by the primary and another member.
+// settleFloor lifts a session's floor once for each group to the group's position now, as confirmed by
+// a majority. A session without a token has no other floor, and a token may be older than the session's
+// last write.
 func (q *request) settleFloor(ctx context.Context) *egret.Failure {
 	s := q.session
-	if s.hasToken || !q.reads {
+	if !q.reads {
 		return nil
 	}
 	if _, settled := s.settled[q.group.Name]; settled {
