--- a/egretlab/load/gap.go
+++ b/egretlab/load/gap.go
@@ -28,13 +28,13 @@
 	Total float64 `json:"total-ms"`
 
 	// Notice, Fence, Promote and Tell are what the watchers say of the promotion. They are zero if
-	// there was none.
+	// there was none. Tell goes on until the last member was told or given up, beside first orders.
 	Notice  float64 `json:"notice-ms"`
 	Fence   float64 `json:"fence-ms"`
 	Promote float64 `json:"promote-ms"`
 	Tell    float64 `json:"tell-ms"`
 
-	// FirstOrder is the rest, until the first order is acknowledged.
+	// FirstOrder is the rest after promoting, until the first order is acknowledged.
 	FirstOrder float64 `json:"first-order-ms"`
 
 	// Promotions is how many there were.
@@ -54,7 +54,7 @@
 	g.Fence = part("fence")
 	g.Promote = part("promote")
 	g.Tell = part("tell")
-	g.FirstOrder = g.Total - g.Notice - g.Fence - g.Promote - g.Tell
+	g.FirstOrder = g.Total - g.Notice - g.Fence - g.Promote
 	g.Promotions = int(delta(after, before, "promote").count)
 }
 
