egretlab: read a promotion's parts once they are all counted

A watcher counts them when the last member is told, which may be after the first order: nothing was found of ten promotions in a cut of the regions.

--- a/egretlab/load/failover.go
+++ b/egretlab/load/failover.go
@@ -21,6 +21,9 @@
 	// settleTime is the time between a whole group and the next failure, at the least.
 	settleTime = 1500 * time.Millisecond
 
+	// partTime is how long after the first order a promotion's parts are all counted.
+	partTime = 2 * time.Second
+
 	// pollInterval is the time between two looks at a group.
 	pollInterval = 50 * time.Millisecond
 )
@@ -135,10 +138,16 @@
 	if n, err := t.Primary(ctx, p.group); err == nil {
 		g.To = n.Name
 	}
-	if after, err := t.sums(ctx, partMetric, partLabel); err == nil {
-		g.split(after, before)
+	if err := t.mend(ctx, o.runner.Failure, m); err != nil {
+		return g, errors.Trace(err)
+	}
+	pause(ctx, partTime)
+	after, err := t.sums(ctx, partMetric, partLabel)
+	if err != nil {
+		return g, errors.Trace(err)
 	}
-	return g, errors.Trace(t.mend(ctx, o.runner.Failure, m))
+	g.split(after, before)
+	return g, nil
 }
 
 // whole waits until the group has a primary, and the others follow it and have its log.
