--- a/caller/conn.go
+++ b/caller/conn.go
@@ -14,6 +14,10 @@
 // flushBytes is how much output is gathered before it is written.
 const flushBytes = 32 << 10
 
+// writeGrace is how long after the end of a request its answer may still be written. It keeps a
+// caller that reads, and whose request ended late, connected.
+const writeGrace = time.Second
+
 // ErrDraining says that the proxy shuts down and the caller was idle.
 const ErrDraining = errors.ConstError("the proxy is shutting down")
 
@@ -49,6 +53,13 @@
 	// writeTimeout bounds each write.
 	writeTimeout time.Duration
 
+	// writeEnd bounds all writes until it is changed. It is zero for none.
+	writeEnd time.Time
+
+	// broken is the error of the first write that failed. A part of a message may have been written,
+	// so that nothing may follow it.
+	broken error
+
 	// prepared has the caller's prepared statements by the caller's names. A statement is added once
 	// the database has taken it.
 	prepared map[string]egret.Statement
@@ -121,16 +132,36 @@
 // Flush writes the output that was gathered. It fails if the caller doesn't take it in time: a caller
 // that reads nothing must not hold a member's connection.
 func (c *Conn) Flush() error {
+	if c.broken != nil {
+		return c.broken
+	}
 	if c.writeTimeout > 0 {
 		// A failure means that the connection is gone, and then the write fails too.
-		_ = c.net.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+		_ = c.net.SetWriteDeadline(c.writeDeadline(time.Now()))
 	}
 	_, err := c.net.Write(c.out)
 	c.out = c.out[:0]
 	if cap(c.out) > 4*flushBytes {
 		c.out = nil
 	}
-	return errors.Trace(err)
+	c.broken = errors.Trace(err)
+	return c.broken
+}
+
+// Bound makes writes fail soon after the end, besides their own timeout. A zero end takes that back.
+func (c *Conn) Bound(end time.Time) {
+	c.writeEnd = end
+	if !end.IsZero() {
+		c.writeEnd = end.Add(writeGrace)
+	}
+}
+
+func (c *Conn) writeDeadline(now time.Time) time.Time {
+	d := now.Add(c.writeTimeout)
+	if !c.writeEnd.IsZero() && c.writeEnd.Before(d) {
+		return c.writeEnd
+	}
+	return d
 }
 
 // Draining reports whether the session should end between transactions.
--- a/egretlab/front/drivers_test.go
+++ b/egretlab/front/drivers_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // manyRows is how many rows the large result has.
@@ -43,6 +45,7 @@
 		{name: "tokens", check: checkTokens},
 		{name: "tables", check: checkTables},
 		{name: "large result", check: checkLargeResult},
+		{name: "unread results", check: checkUnreadResults},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			c.check(t, s)
@@ -389,3 +392,53 @@
 		t.Errorf("%d rows, %v, want %d", n, rows.Err(), manyRows)
 	}
 }
+
+// checkUnreadResults checks that callers that don't read their results hold no slot for longer than the
+// budget, and a moment, whether the lane is at their proxy or at the other. It needs the rows of the
+// large result.
+func checkUnreadResults(t *testing.T, s *set) {
+	for i := range s.proxies {
+		for range 2 {
+			s.askOnly(i, "SELECT id, item FROM orders ORDER BY id /*kind='brief'*/")
+		}
+		began := time.Now()
+		until(t, "statements to run", func() error {
+			if n := s.running(); n < 2 {
+				return fmt.Errorf("%v statements run", n)
+			}
+			return nil
+		})
+		until(t, "the slots to come free", func() error {
+			if n := s.running(); n > 0 {
+				return fmt.Errorf("%v statements run", n)
+			}
+			return nil
+		})
+		if took := time.Since(began); took > 6*time.Second {
+			t.Errorf("unread results held slots for %v", took)
+		}
+	}
+	if _, err := s.connect(0, "").Exec(limited(t), "SELECT 1"); err != nil {
+		t.Error(err)
+	}
+}
+
+// askOnly sends a query on a connection of its own and reads nothing.
+func (s *set) askOnly(i int, query string) {
+	s.t.Helper()
+	c := s.config(i, "")
+	c.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		n, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return n, n.(*net.TCPConn).SetReadBuffer(4096)
+	}
+	f := s.connectConfig(c).PgConn().Frontend()
+	f.SendQuery(&pgproto3.Query{
+		String: query,
+	})
+	if err := f.Flush(); err != nil {
+		s.t.Fatal(err)
+	}
+}
--- a/egretlab/front/set_test.go
+++ b/egretlab/front/set_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 // tablesText has the routes and the pool. The verbs are the members' addresses.
 const tablesText = `routes:
   - {name: orders, caller: workshop, database: catalogo-db, kinds: [order], pool: catalogo, class: order, budget: 10s}
+  - {name: brief, caller: workshop, database: catalogo-db, kinds: [brief], pool: catalogo, budget: 2s, replicas: false}
   - {name: rest, caller: workshop, database: catalogo-db, kinds: [read, write, slow], pool: catalogo, budget: 10s}
 pools:
   - name: catalogo
@@ -240,6 +242,29 @@
 	return run(s.t, append([]string{"egretctl", "--store", s.store.String()}, args...)...)
 }
 
+// running returns the number of statements that run on all members.
+func (s *set) running() float64 {
+	s.t.Helper()
+	sum := 0.0
+	for i := range s.proxies {
+		_, metrics, err := s.get(i, "/metrics")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for line := range strings.Lines(metrics) {
+			if strings.HasPrefix(line, "egretlane_lane_running{") {
+				_, value, _ := strings.Cut(strings.TrimSpace(line), "} ")
+				n, err := strconv.ParseFloat(value, 64)
+				if err != nil {
+					s.t.Fatal(err)
+				}
+				sum += n
+			}
+		}
+	}
+	return sum
+}
+
 // config returns a driver's settings for a proxy. Words are added to the connection string.
 func (s *set) config(i int, words string) *pgx.ConnConfig {
 	s.t.Helper()
--- a/egretlab/front/start_test.go
+++ b/egretlab/front/start_test.go
@@ -77,7 +77,7 @@
 		for _, p := range s.proxies {
 			found = append(found, spansOf(p.logged(), trace)...)
 		}
-		return missing(found, "entry.request", "lane.queue", "lane.exchange", "egretlane.lane.Lane/Transact")
+		return missing(found, "entry.request", "lane.queue", "lane.exchange", "member.exchange", "egretlane.lane.Lane/Transact")
 	})
 	for _, f := range found {
 		known := f.Parent.SpanID == parent || slices.ContainsFunc(found, func(o span) bool {
