caller, entry, route: drivers' first statements, bounds on what sessions keep

Cause: drivers set extra_float_digits and application_name when they connect and give up if that fails; a session could prepare texts without bound, and who had not proved its name could have messages up to the statement limit taken in. Change: settings that change no answer are taken and passed over, default_transaction_read_only is honoured in SET as in the start-up message; 4 MiB of prepared texts for each session (53400 beyond); 10,000 bytes for a message before the caller is proved. Ruled out: taking SET of a time zone or a search path, which would change what statements mean.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -16,6 +16,12 @@
 // nameBytes is how much of a statement's hash goes into its name.
 const nameBytes = 16
 
+// preparedLimit bounds the texts of a session's prepared statements, in bytes.
+const preparedLimit = 4 << 20
+
+// codeLimit is SQLSTATE configuration_limit_exceeded.
+const codeLimit = "53400"
+
 // ErrTerminated says that the caller has closed its session.
 const ErrTerminated = errors.ConstError("the caller has closed its session")
 
@@ -88,7 +94,7 @@
 func (c *Conn) Settle(in *Incoming, parseCompletes int) {
 	for _, h := range in.changes {
 		if h.statement == nil {
-			delete(c.prepared, h.name)
+			c.forget(h.name)
 			continue
 		}
 		if parseCompletes == 0 {
@@ -96,13 +102,21 @@
 			return
 		}
 		parseCompletes--
+		c.forget(h.name)
 		c.prepared[h.name] = *h.statement
+		c.preparedBytes += len(h.statement.Query)
 	}
 }
 
+func (c *Conn) forget(name string) {
+	c.preparedBytes -= len(c.prepared[name].Query)
+	delete(c.prepared, name)
+}
+
 // Reset drops all prepared statements.
 func (c *Conn) Reset() {
 	clear(c.prepared)
+	c.preparedBytes = 0
 }
 
 // gatherer builds a batch from messages.
@@ -169,6 +183,10 @@
 		g.refuse("42P05", "prepared statement \""+m.Name+"\" already exists")
 		return
 	}
+	if g.conn.preparedBytes+len(m.Query) > preparedLimit {
+		g.refuse(codeLimit, "the session's prepared statements are over the limit of "+strconv.Itoa(preparedLimit)+" bytes: close some")
+		return
+	}
 	g.prepare(m.Name, s)
 	g.define(s)
 	m.Name = s.Name
--- a/caller/batch_test.go
+++ b/caller/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -97,6 +98,33 @@
 	}
 }
 
+// TestPreparedStatementsAreBounded checks that a session can't keep more than its share of texts, and that
+// closing makes room.
+func TestPreparedStatementsAreBounded(t *testing.T) {
+	tr := startTrial(t, nil)
+	_, f := tr.login()
+	text := strings.Repeat("x", 1<<15)
+	for i := range preparedLimit / len(text) {
+		if code := say(t, f, parse(fmt.Sprint(i), text), syncing); code != "" {
+			t.Fatalf("statement %d: SQLSTATE %s", i, code)
+		}
+	}
+	for _, c := range []struct {
+		message pgproto3.FrontendMessage
+		code    string
+	}{
+		{message: parse("more", text), code: "53400"},
+		{message: parse("", text)},
+		{message: closing("0")},
+		{message: closing("")},
+		{message: parse("more", text)},
+	} {
+		if code := say(t, f, c.message, syncing); code != c.code {
+			t.Errorf("%+v: SQLSTATE %q, want %q", c.message, code, c.code)
+		}
+	}
+}
+
 // TestFlushIsAnsweredAtOnce checks that a caller that waits after Flush is told, before it sends Sync.
 func TestFlushIsAnsweredAtOnce(t *testing.T) {
 	tr := startTrial(t, nil)
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -63,6 +63,9 @@
 	// prepared has the caller's prepared statements by the caller's names. A statement is added once
 	// the database has taken it.
 	prepared map[string]egret.Statement
+
+	// preparedBytes is the size of the texts of prepared. It stays within preparedLimit.
+	preparedBytes int
 }
 
 func newConn(n net.Conn, limit int) *Conn {
@@ -70,7 +73,8 @@
 		net: n,
 	}
 	b := pgproto3.NewBackend(g, n)
-	b.SetMaxBodyLen(limit)
+	// Nobody has proved who it is yet.
+	b.SetMaxBodyLen(maxPacketBytes)
 	return &Conn{
 		net:      n,
 		backend:  b,
--- a/caller/start.go
+++ b/caller/start.go
@@ -159,6 +159,7 @@
 // admit tells the caller that it is connected and ends the bound on the handshake.
 func (s *Server) admit(c *Conn) error {
 	c.Key = s.Handler.Key()
+	c.backend.SetMaxBodyLen(c.limit)
 	c.greet()
 	if err := c.Flush(); err != nil {
 		return errors.Trace(err)
--- a/entry/local.go
+++ b/entry/local.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"egretlane.example/egret"
@@ -15,8 +16,7 @@
 		s.refuse(unsupported("session state is not offered in pooled routes: use SET LOCAL in a transaction, or the driver's own statements"), false)
 		return true
 	}
-	local := r.Has(route.ActionShow) || r.Has(route.ActionReset) || r.Has(route.ActionSetReadOnly) || r.Has(route.ActionSetReadWrite)
-	if !local {
+	if !slices.ContainsFunc(r.Actions, isLocal) {
 		return false
 	}
 	if len(r.Actions) != 1 {
@@ -31,6 +31,16 @@
 	return true
 }
 
+// isLocal reports whether the proxy itself answers statements with the action.
+func isLocal(a route.Action) bool {
+	switch a {
+	case route.ActionShow, route.ActionReset, route.ActionSetReadOnly, route.ActionSetReadWrite, route.ActionSetHint:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *session) answerHere(in *caller.Incoming, a route.Action) *egret.Failure {
 	words := route.Scan(in.Texts[0]).Statements[0].Words
 	if a == route.ActionShow {
@@ -52,11 +62,12 @@
 	if !in.Runs {
 		return nil
 	}
-	if a != route.ActionReset {
-		s.readOnly = a == route.ActionSetReadOnly
-		return nil
-	}
-	if all {
+	switch {
+	case a == route.ActionSetReadOnly:
+		s.readOnly = true
+	case a == route.ActionSetReadWrite:
+		s.readOnly = false
+	case a == route.ActionReset && all:
 		s.reset(words[0])
 	}
 	return nil
--- a/entry/local_test.go
+++ b/entry/local_test.go
@@ -70,7 +70,19 @@
 	if tries[0].ReadOnly || !tries[len(tries)-1].ReadOnly {
 		t.Errorf("read-only transactions: %v before and %v after, want false and true", tries[0].ReadOnly, tries[len(tries)-1].ReadOnly)
 	}
-	wantCode(t, exec(c, "DEALLOCATE one"), egret.CodeUnsupported)
+	for _, query := range []string{
+		"SET extra_float_digits = 3", "SET application_name = 'desk'", "SET default_transaction_read_only TO off", "DEALLOCATE ALL",
+	} {
+		if r := c.ExecParams(ctx, query, nil, nil, nil, nil).Read(); r.Err != nil {
+			t.Errorf("%s: %v", query, r.Err)
+		}
+	}
+	if err := exec(c, "BEGIN"); err != nil || tr.lanes.tries()[len(tries)].ReadOnly {
+		t.Errorf("a transaction after the session was set back: read-only or %v", err)
+	}
+	for _, query := range []string{"DEALLOCATE one", "SET default_transaction_read_only = 'on'", "SET TIME ZONE 'UTC'"} {
+		wantCode(t, exec(c, query), egret.CodeUnsupported)
+	}
 	conn, err := pgx.Connect(ctx, "host=127.0.0.1 port="+strconv.Itoa(int(tr.addr.Port()))+" user=workshop dbname=catalogo-db sslmode=disable")
 	if err != nil {
 		t.Fatal(err)
--- a/route/kind.go
+++ b/route/kind.go
@@ -35,6 +35,9 @@
 	// ActionSetReadWrite takes that back.
 	ActionSetReadWrite
 
+	// ActionSetHint sets what changes no answer, as drivers do when they connect.
+	ActionSetHint
+
 	// ActionReset drops what the proxy keeps for the session.
 	ActionReset
 
@@ -185,11 +188,29 @@
 		return ActionSetReadOnly
 	case slices.Contains(s.Words, "CHARACTERISTICS") && hasRun(s.Words, "READ", "WRITE"):
 		return ActionSetReadWrite
+	case len(s.Words) > 1:
+		return setValueOf(s.Words[1], s.Words[len(s.Words)-1])
 	default:
 		return ActionSession
 	}
 }
 
+// setValueOf tells what the setting of a value means. A value in quotes isn't among the words.
+func setValueOf(name, value string) Action {
+	switch name {
+	case "EXTRA_FLOAT_DIGITS", "APPLICATION_NAME", "CLIENT_MIN_MESSAGES":
+		return ActionSetHint
+	case "DEFAULT_TRANSACTION_READ_ONLY":
+		switch value {
+		case "ON", "TRUE":
+			return ActionSetReadOnly
+		case "OFF", "FALSE":
+			return ActionSetReadWrite
+		}
+	}
+	return ActionSession
+}
+
 // hasRun reports whether b follows a among the words.
 func hasRun(words []string, a, b string) bool {
 	for i := 0; i+1 < len(words); i++ {
