--- a/egretlab/front/set_test.go
+++ b/egretlab/front/set_test.go
@@ -73,6 +73,7 @@
 	dir     string
 	setup   setup
 	store   netip.AddrPort
+	storing *process
 	members []netip.AddrPort
 	proxies []*proxy
 }
@@ -90,7 +91,7 @@
 	if u.Secure {
 		s.writeSecrets()
 	}
-	start(t, s.dir, "store", "egretlab", "store", "--listen", s.store.String(), "--operator-listen", freeAddress(t).String())
+	s.startStore()
 	for i := range 3 {
 		s.startMember(i)
 	}
@@ -152,6 +153,12 @@
 	s.write("credentials", fmt.Sprintf("%s:SCRAM-SHA-256$%d:%s$%s:%s\n", user, v.Iters, encode([]byte(v.Salt)), encode(v.StoredKey), encode(v.ServerKey)))
 }
 
+// startStore starts an empty store.
+func (s *set) startStore() {
+	s.t.Helper()
+	s.storing = start(s.t, s.dir, "store", "egretlab", "store", "--listen", s.store.String(), "--operator-listen", freeAddress(s.t).String())
+}
+
 func (s *set) startMember(i int) {
 	s.t.Helper()
 	name := fmt.Sprintf("member-%d", i+1)
