--- a/egretlab/load/cost.go
+++ b/egretlab/load/cost.go
@@ -18,6 +18,9 @@
 	// costCallers is how many callers there are at low load.
 	costCallers = 2
 
+	// costThink is the mean time between two requests of such a caller.
+	costThink = 10 * time.Millisecond
+
 	// rateCallers is how many callers press one proxy.
 	rateCallers = 96
 
@@ -65,6 +68,7 @@
 	direct := r.phase(PolicyPin, r.Lags[0])
 	through := r.phase(PolicyEgretlane, r.Lags[0])
 	for _, p := range []*Phase{direct, through} {
+		p.Think = costThink
 		if err := p.prepare(ctx); err != nil {
 			return errors.Trace(err)
 		}
--- a/egretlab/plan.go
+++ b/egretlab/plan.go
@@ -35,7 +35,7 @@
 		textFlag(&s.folder, "dir", "EGRETLAB_DIR", ".run/measure", "`FOLDER` of the set's files"),
 		&cli.BoolFlag{
 			Name:        "flat",
-			Usage:       "leave the network's latencies out",
+			Usage:       "leave the network's latencies and the time of statements out",
 			Sources:     cli.EnvVars("EGRETLAB_FLAT"),
 			Destination: &s.flat,
 		},
--- a/egretlab/sites/plan.go
+++ b/egretlab/sites/plan.go
@@ -104,6 +104,9 @@
 
 func (s *Set) member(m, first Member) Process {
 	d := s.Deployment
+	if s.Flat {
+		d.StatementCost = 0
+	}
 	p := Process{
 		Name:    m.Name,
 		Program: programLab,
--- a/egretlab/sites/ports.go
+++ b/egretlab/sites/ports.go
@@ -32,7 +32,8 @@
 	// Folder is where the set keeps its files.
 	Folder string
 
-	// Flat leaves the network's latencies out, and with them the relay.
+	// Flat leaves the network's latencies out, and with them the relay, and the time of statements.
+	// What is left is the processes' own time.
 	Flat bool
 }
 
