--- a/caller/scram.go
+++ b/caller/scram.go
@@ -61,7 +61,7 @@
 		}
 	}
 	if len(faults) > 0 {
-		return nil, errors.NotValidf("callers' credentials %s: %s", path, strings.Join(faults, "; "))
+		return nil, errors.Errorf("callers' credentials %s: %s", path, strings.Join(faults, "; "))
 	}
 	return c, nil
 }
--- a/token/token.go
+++ b/token/token.go
@@ -128,12 +128,12 @@
 			continue
 		}
 		if len(line) < minKeyBytes {
-			return nil, errors.NotValidf("token keys %s, line %d: a key of under %d bytes", path, i+1, minKeyBytes)
+			return nil, errors.Errorf("token keys %s, line %d: the key has fewer than %d bytes", path, i+1, minKeyBytes)
 		}
 		keys = append(keys, []byte(line))
 	}
 	if len(keys) == 0 {
-		return nil, errors.NotValidf("token keys %s: no key", path)
+		return nil, errors.Errorf("token keys %s: the file has no key", path)
 	}
 	return keys, nil
 }
