lane: a hand-over waits for confirmations

Change: a lane that hands over ends only when no batch is under way. Figures: the new test fails with an unknown outcome without the change, and passes with it. Conclusion: a hand-over cuts no write.

--- a/lane/lane.go
+++ b/lane/lane.go
@@ -57,6 +57,10 @@
 	// running is how many statements run or may still run on the member.
 	running int
 
+	// answering is how many batches are under way, from their arrival until their answer has been
+	// handed on. A confirmation goes on after the slot was given back.
+	answering int
+
 	// idle are connections that no transaction uses, the one used last at the end.
 	idle []*conn
 
@@ -163,7 +167,20 @@
 	if l.handedOver(time.Now()) {
 		l.refuse(l.queue.Fresh(), l.noLane())
 	}
-	return l.held == 0 && l.running == 0 && l.queue.Lent() == 0 && l.queued() == 0
+	return l.held == 0 && l.running == 0 && l.answering == 0 && l.queue.Lent() == 0 && l.queued() == 0
+}
+
+// beginAnswer keeps the lane from ending until endAnswer.
+func (l *lane) beginAnswer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answering++
+}
+
+func (l *lane) endAnswer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answering--
 }
 
 // handedOver reports whether the lane takes no new transactions: the new owner had its time to
--- a/lane/slots_test.go
+++ b/lane/slots_test.go
@@ -1,6 +1,7 @@
 package lane
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -142,3 +143,38 @@
 	callers.Wait()
 	b.wantPeak(2)
 }
+
+func TestHandOverWaitsForConfirmations(t *testing.T) {
+	b := newBench(t)
+	release := make(chan struct{})
+	asked := make(chan struct{}, 10)
+	b.control.awaited = func(ctx context.Context, _ string, p egret.Position) (egret.MemberState, error) {
+		asked <- struct{}{}
+		select {
+		case <-release:
+			return received(1, p), nil
+		case <-ctx.Done():
+			return egret.MemberState{}, ctx.Err()
+		}
+	}
+	h, peers := b.proxy("proxy-1")
+	done := make(chan error)
+	go func() {
+		_, _, err := transact(t, h, opening(false), simple("INSERT 7"))
+		done <- err
+	}()
+	<-asked
+	peers.setLive(node("proxy-2"))
+	b.eventually("proxy-1 has given its slots back", func() bool {
+		return b.slots(h) == 0
+	})
+	// The lane ends at one of the next looks at it, unless the write keeps it.
+	time.Sleep(3 * adjustInterval)
+	close(release)
+	if err := <-done; err != nil {
+		t.Errorf("the write failed: %v", err)
+	}
+	b.eventually("the lane has ended", func() bool {
+		return len(h.Status()) == 0
+	})
+}
--- a/lane/transact.go
+++ b/lane/transact.go
@@ -55,6 +55,8 @@
 
 // Exchange implements egret.Transaction.
 func (t *transaction) Exchange(ctx context.Context, b egret.Batch, sink func(messages []byte) error) (egret.Completion, error) {
+	t.lane.beginAnswer()
+	defer t.lane.endAnswer()
 	ctx, cancel := t.bound(ctx)
 	defer cancel()
 	ctx, span := tracer.Start(ctx, "lane.exchange")
