--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,7 +17,7 @@
 	// Seconds is the time from a batch's arrival to its answer, by role.
 	Seconds *prometheus.HistogramVec
 
-	// Confirms counts look-ups of a group's position for sessions without a token.
+	// Confirms counts look-ups of a group's position for a session's first read of it.
 	Confirms *prometheus.CounterVec
 }
 
@@ -39,7 +39,7 @@
 		}, []string{"role"}),
 		Confirms: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretlane_floor_lookups_total",
-			Help: "Look-ups of a group's position for sessions without a token, by outcome.",
+			Help: "Look-ups of a group's position for a session's first read of it, by outcome.",
 		}, []string{"outcome"}),
 	}
 	r.MustRegister(m.Requests, m.Retries, m.Seconds, m.Confirms)
