--- a/peer/beat.go
+++ b/peer/beat.go
@@ -23,6 +23,11 @@
 	// redraw is how long the drawn partners stay.
 	redraw = time.Minute
 
+	// redrawChanged is how long partners stay when nodes change, and fewPartners is the number of
+	// partners below which each change counts at once.
+	redrawChanged = time.Second
+	fewPartners   = 4
+
 	// farBeat is the interval of exchanges with the partners of other regions in fleets of up to
 	// farFleet. It grows with the size up to maxFarBeat.
 	farBeat    = time.Second
@@ -147,12 +152,16 @@
 	})
 }
 
-// draw chooses partners anew when the nodes changed or the drawn ones are old. The caller holds mu.
+// draw chooses partners anew when the nodes changed or the drawn ones are old. Changes wait for a
+// while, since many may come together and each choice costs connections. The caller holds mu.
 func (m *Mesh) draw(now time.Time) {
-	if m.built == m.drawnFor && now.Sub(m.drawn) < redraw {
+	age := now.Sub(m.drawn)
+	changed := m.table.Version() != m.drawnFor
+	few := len(m.next) < fewPartners
+	if age < redraw && !(changed && (few || age > redrawChanged)) {
 		return
 	}
-	m.drawnFor = m.built
+	m.drawnFor = m.table.Version()
 	m.drawn = now
 	reachable := m.table.Nodes(func(n egret.Node) bool {
 		return n.State != egret.NodeDead
@@ -269,15 +278,15 @@
 
 // call makes one exchange of a round.
 func (m *Mesh) call(ctx context.Context, n egret.Node) (*peerpb.ExchangeReply, error) {
-	return m.send(ctx, n.Address, m.request(n.ID))
+	return m.send(ctx, n.Address, m.request(n.ID), m.Timing.Timeout)
 }
 
-func (m *Mesh) send(ctx context.Context, a netip.AddrPort, r *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+func (m *Mesh) send(ctx context.Context, a netip.AddrPort, r *peerpb.ExchangeRequest, timeout time.Duration) (*peerpb.ExchangeReply, error) {
 	cc, err := m.pool.Conn(a)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.Timing.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return peerpb.NewPeerClient(cc).Exchange(ctx, r)
 }
--- a/peer/counts.go
+++ b/peer/counts.go
@@ -82,7 +82,7 @@
 const (
 	serverKeepaliveTime    = 20 * time.Second
 	serverKeepaliveTimeout = 2 * time.Second
-	serverKeepaliveLeast   = 5 * time.Second
+	serverKeepaliveLeast   = 2 * time.Second
 	serverStreamWindow     = 256 << 10
 	serverConnWindow       = 1 << 20
 	serverBuffer           = 8 << 10
@@ -100,7 +100,8 @@
 			Timeout: serverKeepaliveTimeout,
 		}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
-			MinTime: serverKeepaliveLeast,
+			MinTime:             serverKeepaliveLeast,
+			PermitWithoutStream: true,
 		}),
 		grpc.StaticStreamWindowSize(serverStreamWindow),
 		grpc.StaticConnWindowSize(serverConnWindow),
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -100,6 +100,7 @@
 	counts   *counts
 	answered atomic.Bool
 	live     atomic.Pointer[[]egret.Node]
+	stale    atomic.Bool
 	revision atomic.Uint64
 	pulling  atomic.Bool
 	urgent   chan struct{}
@@ -115,6 +116,7 @@
 	busy     map[string]*asking
 	listed   []netip.AddrPort
 	repair   allowance
+	renewals allowance
 	equal    time.Time
 	random   *rand.Rand
 	news     chan struct{}
@@ -159,7 +161,8 @@
 		m.next = map[string]time.Time{}
 		m.busy = map[string]*asking{}
 		m.equal = now
-		m.repair = newAllowance(now)
+		m.repair = newAllowance(allowanceBurst, allowanceRate, now)
+		m.renewals = newAllowance(renewalBurst, renewalRate, now)
 		m.counts = newCounts(m.Registry)
 		m.pool = &dial.Pool{
 			Map:         m.Map,
@@ -242,6 +245,11 @@
 // Live returns the proxies that may hold lanes, ordered by ID. Callers leave the slice unchanged.
 func (m *Mesh) Live() []egret.Node {
 	m.open()
+	if m.stale.Load() {
+		m.mu.Lock()
+		m.refresh()
+		m.mu.Unlock()
+	}
 	return *m.live.Load()
 }
 
@@ -289,13 +297,15 @@
 	if !c.Changed {
 		return
 	}
-	m.refresh()
+	m.stale.Store(true)
 	close(m.news)
 	m.news = make(chan struct{})
 }
 
-// refresh publishes the live nodes if they changed. The caller holds mu, or is open.
+// refresh publishes the live nodes if they changed. The caller holds mu, or is open. It runs when
+// somebody asks, since many changes may come between.
 func (m *Mesh) refresh() {
+	m.stale.Store(false)
 	if m.built == m.table.Version() {
 		return
 	}
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -9,13 +9,21 @@
 	"egretlane.example/egret/peer/roster"
 )
 
+// New connections to silent partners that may be made at once, and in a second.
+const (
+	renewalBurst = 8
+	renewalRate  = 4
+)
+
 // probes is how many other proxies are asked to reach a silent one.
 const probes = 3
 
 // missed asks a silent proxy once more over a new connection, since the old one may have gone
 // silent alone, and through others. If nobody reaches it, it is suspect.
 func (m *Mesh) missed(ctx context.Context, n egret.Node) {
-	m.pool.Renew(n.Address)
+	if m.mayRenew() {
+		m.pool.Renew(n.Address)
+	}
 	calls := []func() bool{
 		func() bool {
 			return m.again(ctx, n)
@@ -43,6 +51,14 @@
 	})
 }
 
+// mayRenew reports whether a connection may be replaced now. Where this proxy itself is too slow for
+// its partners, new connections to all of them would make it slower.
+func (m *Mesh) mayRenew() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.renewals.take(1, time.Now())
+}
+
 // again repeats an exchange.
 func (m *Mesh) again(ctx context.Context, n egret.Node) bool {
 	reply, err := m.call(ctx, n)
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -17,8 +17,11 @@
 	pullTimeout   = 5 * time.Second
 	tablesTimeout = 30 * time.Second
 
-	// entrySize is about what an entry takes on the wire, in bytes.
-	entrySize = 80
+	// entrySize is about what an entry takes on the wire, compressed, in bytes.
+	entrySize = 40
+
+	// manyNews is more news than two messages carry.
+	manyNews = 24
 
 	// repairSize bounds one repair, in bytes.
 	repairSize = 16 << 10
@@ -71,10 +74,11 @@
 }
 
 // quiet reports whether a difference to a peer is likely to last: nothing changed here for as long
-// as news travel, or no peer was equal for much longer. The caller holds mu.
+// as news travel, or no peer was equal for much longer, or there is more news than messages carry.
+// The caller holds mu.
 func (m *Mesh) quiet(now time.Time) bool {
 	spread := m.spreadTime()
-	return now.Sub(m.table.Changed()) > spread || now.Sub(m.equal) > 4*spread
+	return m.table.Pending() > manyNews || now.Sub(m.table.Changed()) > spread || now.Sub(m.equal) > 4*spread
 }
 
 // absorb takes a reply in.
@@ -113,7 +117,7 @@
 	reply, err := m.send(ctx, a, &peerpb.ExchangeRequest{
 		From:   self,
 		Digest: &peerpb.Digest{},
-	})
+	}, contactTimeout)
 	if err != nil {
 		return
 	}
@@ -126,7 +130,7 @@
 	_, _ = m.send(ctx, a, &peerpb.ExchangeRequest{
 		From:   self,
 		Digest: digest,
-	})
+	}, contactTimeout)
 }
 
 // learn takes in what a proxy says of itself and its news.
--- a/peer/roster/roster.go
+++ b/peer/roster/roster.go
@@ -79,6 +79,10 @@
 // refusedSuspicion is the suspicion of nodes whose host refuses connections.
 const refusedSuspicion = 400 * time.Millisecond
 
+// urgentFleet is the size of the fleet from which on a new node isn't urgent news, since many may
+// come at once.
+const urgentFleet = 32
+
 // smallFleet is the number of nodes up to which times and intervals don't grow.
 const smallFleet = 8
 
@@ -192,7 +196,7 @@
 	}
 	return Change{
 		Changed: true,
-		Urgent:  spread && !fresh,
+		Urgent:  spread && !fresh && (known || t.live < urgentFleet),
 	}
 }
 
--- a/peer/seek.go
+++ b/peer/seek.go
@@ -18,6 +18,10 @@
 	aloneInterval = 250 * time.Millisecond
 	aloneMaximum  = 2 * time.Second
 
+	// contactTimeout bounds an exchange with an unknown proxy. It is long, since many may come to
+	// the same one at once.
+	contactTimeout = 2 * time.Second
+
 	// aloneTries is how many addresses are tried at once then.
 	aloneTries = 8
 
@@ -130,9 +134,7 @@
 
 // contact exchanges with whoever is at the address. The first that answers hands over all it knows.
 func (m *Mesh) contact(ctx context.Context, a netip.AddrPort) {
-	reply, err := m.call(ctx, egret.Node{
-		Address: a,
-	})
+	reply, err := m.send(ctx, a, m.request(""), contactTimeout)
 	if err != nil {
 		m.pool.Renew(a)
 		return
