--- a/egretlab/front/set_test.go
+++ b/egretlab/front/set_test.go
@@ -75,6 +75,7 @@
 	store   netip.AddrPort
 	storing *process
 	members []netip.AddrPort
+	serving []*process
 	proxies []*proxy
 }
 
@@ -176,7 +177,7 @@
 		args = append(args, "--tls-cert", s.path("member.crt"), "--tls-key", s.path("member.key"),
 			"--password-file", s.path("member-password"))
 	}
-	start(s.t, s.dir, name, args...)
+	s.serving = append(s.serving, start(s.t, s.dir, name, args...))
 	until(s.t, name, func() error {
 		c, err := net.Dial("tcp", s.members[i].String())
 		if err == nil {
--- a/egretlane/proxy.go
+++ b/egretlane/proxy.go
@@ -150,6 +150,6 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		p.logger.Warn().Msg("peers' transactions cut")
+		p.logger.Warn().Msg("transactions of peers cut")
 	}
 }
