entry: count what the database rejects and what the proxy refuses

Cause: a request that the database answered with an error counted as ok, and one that the proxy refused before it was routed did not count, so that nothing showed a database that refuses everything. Change: the outcome rejected for answers with an error, and not-run without a route for refusals.

--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -83,6 +83,9 @@
 	// answer decides the n-th try, counted from 1.
 	answer func(n int, o egret.Opening) (egret.Completion, error)
 
+	// rejects makes the answers errors of the database.
+	rejects bool
+
 	// openings has the openings of all tries.
 	openings []egret.Opening
 
@@ -147,9 +150,15 @@
 	if err != nil {
 		return egret.Completion{}, err
 	}
-	m, err := (&pgproto3.CommandComplete{
+	var answer pgproto3.BackendMessage = &pgproto3.CommandComplete{
 		CommandTag: []byte("OK"),
-	}).Encode(nil)
+	}
+	if t.lanes.rejects {
+		answer = &pgproto3.ErrorResponse{
+			Code: "23505",
+		}
+	}
+	m, err := answer.Encode(nil)
 	if err != nil {
 		return egret.Completion{}, err
 	}
--- a/entry/local_test.go
+++ b/entry/local_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"egretlane.example/egret"
 )
@@ -93,3 +94,29 @@
 		t.Errorf("SHOW egretlane.node = %q, %v", node, err)
 	}
 }
+
+// TestOutcomesAreCounted checks that what the database rejects and what the proxy refuses doesn't count
+// as answered.
+func TestOutcomesAreCounted(t *testing.T) {
+	tr := startTrial(t, func(int, egret.Opening) (egret.Completion, error) {
+		return done(egret.TxIdle, 1)
+	})
+	c := tr.connect(t, "")
+	_ = exec(c, "INSERT INTO orders VALUES ('a')")
+	wantCode(t, exec(c, "LISTEN news"), egret.CodeUnsupported)
+	tr.lanes.rejects = true
+	if err := exec(c, "INSERT INTO orders VALUES ('a')"); err == nil {
+		t.Error("no error of the database")
+	}
+	for _, w := range []struct {
+		route, role, outcome string
+	}{
+		{route: "all", role: rolePrimary, outcome: "ok"},
+		{route: "all", role: rolePrimary, outcome: "rejected"},
+		{role: roleNone, outcome: "not-run"},
+	} {
+		if n := testutil.ToFloat64(tr.desk.Metrics.Requests.WithLabelValues(w.route, w.role, w.outcome)); n != 1 {
+			t.Errorf("%+v: %v requests, want 1", w, n)
+		}
+	}
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -46,8 +46,12 @@
 	return m
 }
 
-// outcomeLabel names the end of a request.
-func outcomeLabel(f *egret.Failure) string {
+// outcomeLabel names the end of a request. One that was answered whole is rejected if the answer has
+// an error of the database.
+func outcomeLabel(f *egret.Failure, rejected bool) string {
+	if f == nil && rejected {
+		return "rejected"
+	}
 	if f == nil {
 		return "ok"
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -79,7 +79,6 @@
 	q, f := s.plan(in, r, start)
 	if f != nil {
 		s.refuse(f, false)
-		s.desk.Metrics.Requests.WithLabelValues("", roleNone, outcomeLabel(f)).Inc()
 		return
 	}
 	ctx, span := startSpan(ctx, r, q.route.Name)
@@ -100,7 +99,7 @@
 		s.finish(q, done)
 	}
 	span.SetAttributes(attribute.String("egretlane.member", q.target.member))
-	s.desk.Metrics.Requests.WithLabelValues(q.route.Name, q.target.role, outcomeLabel(f)).Inc()
+	s.desk.Metrics.Requests.WithLabelValues(q.route.Name, q.target.role, outcomeLabel(f, q.reply.failed)).Inc()
 	s.desk.Metrics.Seconds.WithLabelValues(q.target.role).Observe(time.Since(start).Seconds())
 }
 
@@ -213,14 +212,14 @@
 		s.closeTransaction()
 	}
 	s.ready(done.Status)
-	s.desk.Metrics.Requests.WithLabelValues(o.route.Name, o.role, outcomeLabel(nil)).Inc()
+	s.desk.Metrics.Requests.WithLabelValues(o.route.Name, o.role, outcomeLabel(nil, p.failed)).Inc()
 	s.desk.Metrics.Seconds.WithLabelValues(o.role).Observe(time.Since(start).Seconds())
 }
 
 // loseTransaction reports that the lane has lost the transaction. Unless the caller was just ending
 // it, the transaction is rolled back: nothing of it has run, and the caller has to end it.
 func (s *session) loseTransaction(f *egret.Failure, r route.Request) {
-	s.desk.Metrics.Requests.WithLabelValues(s.open.route.Name, s.open.role, outcomeLabel(f)).Inc()
+	s.desk.Metrics.Requests.WithLabelValues(s.open.route.Name, s.open.role, outcomeLabel(f, false)).Inc()
 	s.closeTransaction()
 	if r.Has(route.ActionEnd) {
 		s.fail(f, egret.TxIdle)
--- a/entry/session.go
+++ b/entry/session.go
@@ -186,6 +186,7 @@
 // refuse reports that a batch is not run. An open transaction is rolled back, as a database does
 // after any error.
 func (s *session) refuse(f *egret.Failure, answered bool) {
+	s.desk.Metrics.Requests.WithLabelValues("", roleNone, outcomeLabel(f, false)).Inc()
 	status := egret.TxIdle
 	if s.open.tx != nil || s.lost {
 		s.closeTransaction()
