member: heartbeats without the description of their columns

Cause: the description of a state row's columns was most of what an idle lane received, and came with each heartbeat. Change: a control connection prepares the question for the state when it asks it the second time. The first still takes one round trip.

--- a/member/control_test.go
+++ b/member/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
@@ -22,6 +23,9 @@
 
 	// accepted counts connections, without those for cancel requests.
 	accepted atomic.Int64
+
+	// executed counts executions of the prepared statement.
+	executed atomic.Int64
 }
 
 func (s *fakeServer) listen(t *testing.T) egret.Member {
@@ -65,26 +69,50 @@
 		if err != nil {
 			return
 		}
-		q, ok := m.(*pgproto3.Query)
-		if !ok {
-			return
-		}
-		answer := s.answer(q.String)
-		if answer == nil {
-			continue
-		}
-		if row, ok := answer.(*pgproto3.DataRow); ok {
-			b.Send(&pgproto3.RowDescription{
-				Fields: make([]pgproto3.FieldDescription, len(row.Values)),
-			})
-			b.Send(row)
-			b.Send(&pgproto3.CommandComplete{
-				CommandTag: []byte("SELECT 1"),
-			})
-		} else {
-			b.Send(answer)
+		switch m := m.(type) {
+		case *pgproto3.Query:
+			answer := s.answer(m.String)
+			if answer == nil {
+				continue
+			}
+			if _, ok := answer.(*pgproto3.DataRow); ok {
+				b.Send(stateColumns)
+			}
+			sendAnswer(b, answer)
+			b.Send(ready)
+		case *pgproto3.Parse:
+			b.Send(&pgproto3.ParseComplete{})
+		case *pgproto3.Describe:
+			b.Send(&pgproto3.ParameterDescription{})
+			b.Send(stateColumns)
+		case *pgproto3.Bind:
+			b.Send(&pgproto3.BindComplete{})
+		case *pgproto3.Execute:
+			s.executed.Add(1)
+			answer := s.answer(StatusQuery)
+			if answer == nil {
+				// The connection goes silent, whatever comes.
+				_, _ = io.Copy(io.Discard, c)
+				return
+			}
+			sendAnswer(b, answer)
+		case *pgproto3.Sync:
+			b.Send(ready)
 		}
-		b.Send(ready)
+	}
+}
+
+// stateColumns describes a state row.
+var stateColumns = &pgproto3.RowDescription{
+	Fields: make([]pgproto3.FieldDescription, columnCount),
+}
+
+func sendAnswer(b *pgproto3.Backend, answer pgproto3.BackendMessage) {
+	b.Send(answer)
+	if _, ok := answer.(*pgproto3.DataRow); ok {
+		b.Send(&pgproto3.CommandComplete{
+			CommandTag: []byte("SELECT 1"),
+		})
 	}
 }
 
@@ -127,6 +155,9 @@
 	if got := s.accepted.Load(); got != 1 {
 		t.Errorf("connections = %d, want one that is kept", got)
 	}
+	if got := s.executed.Load(); got != 2 {
+		t.Errorf("prepared executions = %d, want all but the first", got)
+	}
 }
 
 func TestSilentConnectionIsReplacedWithinTheCall(t *testing.T) {
--- a/member/link.go
+++ b/member/link.go
@@ -21,6 +21,9 @@
 	// firstPatience is how long an answer may be late before a second connection is tried.
 	firstPatience = 200 * time.Millisecond
 
+	// preparedName is the name of the one prepared statement of a connection.
+	preparedName = "egretlane-state"
+
 	// patienceFactor is how many times the usual delay of answers that is, if it is more.
 	patienceFactor = 3
 )
@@ -196,7 +199,7 @@
 
 // tryOn asks on a connection.
 func tryOn(ctx context.Context, conn *pgconn.PgConn, q *question, tries chan<- attempt) {
-	state, err := query(ctx, conn, q.request.query)
+	state, err := query(ctx, conn, q.request)
 	tries <- attempt{
 		conn:  conn,
 		state: state,
@@ -204,17 +207,51 @@
 	}
 }
 
-func query(ctx context.Context, conn *pgconn.PgConn, query string) (egret.MemberState, error) {
-	results, err := conn.Exec(ctx, query).ReadAll()
+// query asks and reads the state row, the last of the answer.
+func query(ctx context.Context, conn *pgconn.PgConn, r request) (egret.MemberState, error) {
+	if r.shared {
+		return queryOften(ctx, conn, r)
+	}
+	results, err := conn.Exec(ctx, r.query).ReadAll()
 	if err != nil {
 		return egret.MemberState{}, err
 	}
 	if len(results) == 0 || len(results[len(results)-1].Rows) != 1 {
-		return egret.MemberState{}, errors.NotValidf("answer to %q", query)
+		return egret.MemberState{}, errors.NotValidf("answer to %q", r.query)
 	}
 	return ParseState(results[len(results)-1].Rows[0], time.Now())
 }
 
+// queryOften asks what a connection is asked again and again. The second time it prepares the
+// statement, so that later answers come without the description of their columns, which is most of
+// their size.
+func queryOften(ctx context.Context, conn *pgconn.PgConn, r request) (egret.MemberState, error) {
+	data := conn.CustomData()
+	_, asked := data[r.query]
+	statement, _ := data[r.query].(*pgconn.StatementDescription)
+	if !asked {
+		data[r.query] = nil
+		r.shared = false
+		return query(ctx, conn, r)
+	}
+	if statement == nil {
+		prepared, err := conn.Prepare(ctx, preparedName, r.query, nil)
+		if err != nil {
+			return egret.MemberState{}, err
+		}
+		statement = prepared
+		data[r.query] = prepared
+	}
+	result := conn.ExecStatement(ctx, statement, nil, nil, nil).Read()
+	if result.Err != nil {
+		return egret.MemberState{}, result.Err
+	}
+	if len(result.Rows) != 1 {
+		return egret.MemberState{}, errors.NotValidf("answer to %q", r.query)
+	}
+	return ParseState(result.Rows[0], time.Now())
+}
+
 // answered reports whether the member has answered, if only with a refusal.
 func answered(err error) bool {
 	var refusal *pgconn.PgError
