--- a/peer/beat.go
+++ b/peer/beat.go
@@ -158,7 +158,7 @@
 	age := now.Sub(m.drawn)
 	changed := m.table.Version() != m.drawnFor
 	few := len(m.next) < fewPartners
-	if age < redraw && !(changed && (few || age > redrawChanged)) {
+	if age < redraw && (!changed || !few && age <= redrawChanged) {
 		return
 	}
 	m.drawnFor = m.table.Version()
