route, entry: callers can't drive the groups

Cause: statements of callers run as the proxy's own user, so that any caller could fence or promote a member, take the locks of statement slots, and end other connections: SELECT platform.fence(99) through a proxy fenced a replica. Change: such names are refused with 0A000, read as the database reads names: in quotes, with blanks and comments between, in capitals or not.

--- a/egretlab/front/drivers_test.go
+++ b/egretlab/front/drivers_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -42,6 +43,7 @@
 		{name: "cancel", check: checkCancel},
 		{name: "over the limit", check: checkLimit},
 		{name: "strangers", check: checkStrangers},
+		{name: "forbidden", check: checkForbidden},
 		{name: "tokens", check: checkTokens},
 		{name: "tables", check: checkTables},
 		{name: "large result", check: checkLargeResult},
@@ -308,6 +310,24 @@
 	wantCode(t, "an unknown group", err, "3D000")
 }
 
+// checkForbidden checks that callers can't drive the group, in whatever way they send it.
+func checkForbidden(t *testing.T, s *set) {
+	conn := s.connect(0, "")
+	const fence = "SELECT * FROM platform.fence(99) /*kind='order'*/"
+	_, err := conn.PgConn().Exec(limited(t), fence).ReadAll()
+	wantCode(t, "a fence in a simple query", err, "0A000")
+	_, err = conn.Prepare(limited(t), "fence", fence)
+	wantCode(t, "a fence that is prepared", err, "0A000")
+	b := &pgx.Batch{}
+	b.Queue("SELECT item FROM orders WHERE id = $1", "x")
+	b.Queue(fence)
+	wantCode(t, "a fence in a batch", conn.SendBatch(limited(t), b).Close(), "0A000")
+	out, _ := s.ctl("status", "--proxy", s.proxies[0].peers.String())
+	if regexp.MustCompile(`\s99\s`).MatchString(out) {
+		t.Errorf("a member was fenced:\n%s", out)
+	}
+}
+
 func checkTokens(t *testing.T, s *set) {
 	conn := s.connect(0, "")
 	if _, err := conn.Exec(limited(t), "INSERT INTO orders (id, item) VALUES ('token', 'a')"); err != nil {
--- a/entry/session.go
+++ b/entry/session.go
@@ -133,7 +133,12 @@
 		s.refuse(in.Refusal, in.Answered)
 		return
 	}
-	r := route.Classify(scan(in.Texts), s.readOnly)
+	texts := scan(in.Texts)
+	if f := forbidden(texts); f != nil {
+		s.refuse(f, false)
+		return
+	}
+	r := route.Classify(texts, s.readOnly)
 	if s.lost {
 		s.serveLost(in, r)
 		return
@@ -148,6 +153,16 @@
 	s.begin(ctx, in, r)
 }
 
+// forbidden returns the refusal of what callers may not use, or nil.
+func forbidden(texts []route.Text) *egret.Failure {
+	for _, t := range texts {
+		if t.Forbidden != "" {
+			return unsupported("\"" + t.Forbidden + "\" is not offered to callers")
+		}
+	}
+	return nil
+}
+
 func scan(texts []string) []route.Text {
 	scanned := make([]route.Text, 0, len(texts))
 	for _, t := range texts {
--- a/route/scan.go
+++ b/route/scan.go
@@ -16,6 +16,9 @@
 
 	// Tags has the tags of all comments, in order.
 	Tags []Tag
+
+	// Forbidden is the first name that callers may not use, in small letters, or "".
+	Forbidden string
 }
 
 // Statement is the front of a statement.
@@ -43,6 +46,7 @@
 		s.step()
 	}
 	s.endStatement()
+	s.text.Forbidden = s.guard.found
 	return s.text
 }
 
@@ -59,6 +63,9 @@
 
 	// filled says that the statement being read is not empty.
 	filled bool
+
+	// guard looks for names that callers may not use.
+	guard guard
 }
 
 func (s *scanner) step() {
@@ -70,7 +77,7 @@
 	case s.rest[0] == '\'':
 		s.quoted('\'', false)
 	case s.rest[0] == '"':
-		s.quoted('"', false)
+		s.quotedName()
 	case (s.rest[0] == 'e' || s.rest[0] == 'E') && len(s.rest) > 1 && s.rest[1] == '\'':
 		s.rest = s.rest[1:]
 		s.quoted('\'', true)
@@ -82,11 +89,28 @@
 	case isWordByte(s.rest[0]):
 		s.word()
 	default:
-		s.filled = s.filled || !unicode.IsSpace(rune(s.rest[0]))
+		s.other(s.rest[0])
 		s.rest = s.rest[1:]
 	}
 }
 
+// other takes a character that is part of nothing longer.
+func (s *scanner) other(c byte) {
+	if unicode.IsSpace(rune(c)) {
+		return
+	}
+	s.filled = true
+	s.guard.other(c)
+}
+
+// quotedName skips a name in quotes.
+func (s *scanner) quotedName() {
+	whole := s.rest
+	s.quoted('"', false)
+	name := strings.TrimSuffix(whole[1:len(whole)-len(s.rest)], `"`)
+	s.guard.quoted(name)
+}
+
 func (s *scanner) endStatement() {
 	if s.filled {
 		s.text.Statements = append(s.text.Statements, Statement{
@@ -164,9 +188,11 @@
 	for end < len(s.rest) && isWordByte(s.rest[end]) {
 		end++
 	}
+	word := strings.ToUpper(s.rest[:end])
 	if len(s.words) < maxWords {
-		s.words = append(s.words, strings.ToUpper(s.rest[:end]))
+		s.words = append(s.words, word)
 	}
+	s.guard.name(word)
 	s.rest = s.rest[end:]
 }
 
