lane: replicas in use go on sampling their primary

Cause: since a lane whose replica answers callers skipped the samples of the primary along with its own heartbeats. Change: only the member's own heartbeat is spared.

--- a/lane/beat.go
+++ b/lane/beat.go
@@ -111,9 +111,6 @@
 // samplePrimary takes a sample of the primary's position.
 func (l *lane) samplePrimary(ctx context.Context, m egret.Member) {
 	asked := time.Now()
-	if l.sparesBeat(asked) {
-		return
-	}
 	state, err := l.holder.Control.Status(ctx, m)
 	if err != nil || state.Role != egret.RolePrimary {
 		return
--- /dev/null
+++ b/lane/beat_test.go
@@ -0,0 +1,46 @@
+package lane
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+// statusControl answers each question for a state with the same state.
+type statusControl struct {
+	egret.Control
+	state egret.MemberState
+}
+
+func (c *statusControl) Status(context.Context, egret.Member) (egret.MemberState, error) {
+	return c.state, nil
+}
+
+func TestReplicaInUseKeepsSamplingItsPrimary(t *testing.T) {
+	l := &lane{
+		holder: &Holder{
+			Control: &statusControl{
+				state: egret.MemberState{
+					Role: egret.RolePrimary,
+					Received: egret.Position{
+						Term:   1,
+						Offset: 9,
+					},
+				},
+			},
+		},
+	}
+	// Answers to callers have just brought the replica's own state.
+	l.state.Sampled = time.Now()
+	l.samplePrimary(context.Background(), egret.Member{
+		Name: "member-1",
+	})
+	if _, found := l.ages.newest(egret.Position{
+		Term:   1,
+		Offset: 9,
+	}); !found {
+		t.Error("no sample of the primary was taken, so that the replica's age is unknown")
+	}
+}
