promo, peer: promote when only the holder of the lane reaches the primary

Cause: a primary cut from its replicas and from all proxies but the holder of its lane confirms no write, and was left in place for good, since the holder reaches it. TestReadYourWritesPromotion waited 15 s in vain. Ruled out: not counting the holder's word, which would promote whenever the watcher alone is cut off. Change: a witness also tells where the primary's log ends, so that the first watcher sees that the replicas receive nothing of it. Conclusion: a stall alone needs 8 s, because a replica that lags looks the same from outside; an answer of members that names the state of their replication would shorten it.

--- a/peer/calls.go
+++ b/peer/calls.go
@@ -66,7 +66,7 @@
 }
 
 // Witness asks another proxy for the state of a member, as it sees it. The state has the member's
-// name, role and granted term only. An error that satisfies errors.Is(err, egret.ErrUnseen) says that the
+// name, role, granted term and the end of its log only. An error that satisfies errors.Is(err, egret.ErrUnseen) says that the
 // proxy answered but doesn't reach the member.
 func (m *Mesh) Witness(ctx context.Context, n egret.Node, group string, member string) (egret.MemberState, error) {
 	m.open()
@@ -88,6 +88,10 @@
 		Member:  member,
 		Role:    egret.Role(reply.GetRole()),
 		Granted: reply.GetGranted(),
+		Received: egret.Position{
+			Term:   reply.GetReceivedTerm(),
+			Offset: reply.GetReceivedOffset(),
+		},
 		Sampled: time.Now(),
 	}, nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -90,6 +90,9 @@
 		Reached: true,
 		Granted: state.Granted,
 		Role:    string(state.Role),
+
+		ReceivedTerm:   state.Received.Term,
+		ReceivedOffset: state.Received.Offset,
 	}, nil
 }
 
--- a/promo/beat.go
+++ b/promo/beat.go
@@ -20,10 +20,16 @@
 
 // sights are what other proxies say.
 type sights struct {
-	holder    Sight
+	holder    glance
 	witnesses []Sight
 }
 
+// glance is what another proxy says, and the state of the primary if it reaches it.
+type glance struct {
+	sight Sight
+	state egret.MemberState
+}
+
 // beat sends a heartbeat to the primary. If the answer takes long, others are asked meanwhile.
 func (w *Watcher) beat(ctx context.Context, v *watched, g egret.Group, fact egret.GroupFact) {
 	start := time.Now()
@@ -127,7 +133,8 @@
 	}
 	v.misses++
 	v.timedOut = v.timedOut || timedOut
-	v.holder = s.holder
+	v.holder = s.holder.sight
+	v.told(s.holder)
 	v.witnesses = s.witnesses
 	v.laneSince = time.Time{}
 }
@@ -163,7 +170,7 @@
 	}
 	for i, n := range others {
 		wg.Go(func() {
-			s.witnesses[i] = w.askOne(ctx, n, fact)
+			s.witnesses[i] = w.askOne(ctx, n, fact).sight
 		})
 	}
 	wg.Wait()
@@ -188,12 +195,22 @@
 	return found
 }
 
-func (w *Watcher) askOne(ctx context.Context, n egret.Node, fact egret.GroupFact) Sight {
+func (w *Watcher) askOne(ctx context.Context, n egret.Node, fact egret.GroupFact) glance {
 	if w.Ask == nil {
-		return SightNone
+		return glance{}
 	}
 	state, err := w.Ask(ctx, n, fact.Group, fact.Primary)
-	return sightOf(state, err, fact.Term)
+	return glance{
+		sight: sightOf(state, err, fact.Term),
+		state: state,
+	}
+}
+
+// told keeps the state of a primary that the holder of its lane reaches.
+func (v *watched) told(g glance) {
+	if g.sight == SightSeen {
+		v.primary = g.state
+	}
 }
 
 // askHolder looks at a primary that answers here through the holder of its lane, since callers
@@ -216,15 +233,16 @@
 	if v.holderLook.idle() {
 		v.asked = now
 	}
-	v.holderLook.start(func() Sight {
+	v.holderLook.start(func() glance {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return w.askOne(ctx, holder, fact)
 	})
 }
 
-func (v *watched) heardHolder(s Sight) {
-	switch s {
+func (v *watched) heardHolder(g glance) {
+	v.told(g)
+	switch g.sight {
 	case SightSeen:
 		v.laneSince = time.Time{}
 	case SightUnseen:
--- a/promo/choose.go
+++ b/promo/choose.go
@@ -172,9 +172,9 @@
 	furthest egret.Position
 }
 
-// Observe takes in a look at the members. Replicas that are behind but move are not stalled.
-func (p *Progress) Observe(f Finding, states []egret.MemberState, needed int, now time.Time) {
-	primary, _ := stateOf(states, f.Lead.Primary)
+// Observe takes in the state of the primary and those of the members that answered. Replicas that are
+// behind but move are not stalled.
+func (p *Progress) Observe(primary egret.MemberState, states []egret.MemberState, now time.Time) {
 	furthest := egret.Position{}
 	for _, s := range states {
 		if s.Member != primary.Member && s.Received.Compare(furthest) > 0 {
@@ -187,7 +187,7 @@
 		p.Usual = max(now.Sub(p.Since), p.Usual-p.Usual/64)
 	}
 	switch {
-	case !f.Leads || len(states) < needed || moved || primary.Received.Compare(furthest) <= 0:
+	case moved || primary.Received.Compare(furthest) <= 0:
 		p.Since = time.Time{}
 	case p.Since.IsZero():
 		p.Since = now
--- a/promo/decide.go
+++ b/promo/decide.go
@@ -59,6 +59,10 @@
 	// lanePatience is for a primary that others reach, but not the holder of its lane.
 	lanePatience = 1500 * time.Millisecond
 
+	// cutPatience is for a primary that only the holder of its lane reaches, while its replicas
+	// receive nothing.
+	cutPatience = 2 * time.Second
+
 	orphanPatience  = 1500 * time.Millisecond
 	unknownPatience = 3 * time.Second
 	stalledPatience = 8 * time.Second
@@ -153,13 +157,17 @@
 
 // silent reports whether the primary counts as gone.
 //
-// A primary that the holder of its lane reaches isn't gone: callers are served. If the holder
+// A primary that the holder of its lane reaches isn't gone: callers are served, unless the replicas
+// receive nothing, so that no write can be confirmed. If the holder
 // doesn't reach it, callers aren't, even if other proxies reach the primary; then it takes longer,
 // since lanes move by themselves when it is the holder that fails.
 func (v *View) silent() bool {
-	if v.Misses == 0 || v.Holder == SightSeen {
+	if v.Misses == 0 {
 		return false
 	}
+	if v.Holder == SightSeen {
+		return v.Misses > 1 && v.due(v.StalledSince, cutPatience)
+	}
 	patience := refusedPatience
 	if v.TimedOut {
 		patience = 0
--- a/promo/group.go
+++ b/promo/group.go
@@ -52,6 +52,9 @@
 	leavingSince time.Time
 	progress     Progress
 
+	// primary is the primary's state as another proxy told it last.
+	primary egret.MemberState
+
 	// latency is the primary's usual time to answer: it rises at once and falls slowly.
 	latency time.Duration
 
@@ -60,7 +63,7 @@
 
 	// members and holderLook run while heartbeats go on.
 	members    look[[]egret.MemberState]
-	holderLook look[Sight]
+	holderLook look[glance]
 	nextMend   time.Time
 	nextHolder time.Time
 
--- a/promo/mend.go
+++ b/promo/mend.go
@@ -55,8 +55,13 @@
 	}
 	v.nextMend = now.Add(w.Timing.Mend)
 	timeout := w.timeout(v)
+	enough := len(g.Members)
+	if v.misses > 0 {
+		// The silent primary isn't waited for.
+		enough = majority(g)
+	}
 	v.members.start(func() []egret.MemberState {
-		return w.survey(ctx, g, timeout)
+		return w.survey(ctx, g, timeout, enough)
 	})
 }
 
@@ -64,7 +69,9 @@
 func (w *Watcher) examined(ctx context.Context, v *watched, g egret.Group, fact egret.GroupFact, known bool, states []egret.MemberState) {
 	f := Examine(g, fact, known, states)
 	v.highest = max(v.highest, f.Highest)
-	v.progress.Observe(f, states, majority(g), time.Now())
+	if len(states) >= majority(g) {
+		v.progress.Observe(v.leader(f, states), states, time.Now())
+	}
 	since(&v.orphanSince, f.Orphan)
 	if f.Known && f.Leads {
 		w.Peers.Announce(f.Lead)
@@ -74,8 +81,20 @@
 	}
 }
 
-// survey asks all members for their state.
-func (w *Watcher) survey(ctx context.Context, g egret.Group, timeout time.Duration) []egret.MemberState {
+// leader returns the state of the primary that leads, as it answered here or else as the holder of
+// its lane told. It is empty if neither knows one.
+func (v *watched) leader(f Finding, states []egret.MemberState) egret.MemberState {
+	if s, ok := stateOf(states, f.Lead.Primary); ok || v.primary.Granted != f.Lead.Term {
+		if f.Leads {
+			return s
+		}
+		return egret.MemberState{}
+	}
+	return v.primary
+}
+
+// survey asks all members for their state, and waits little for the rest once enough have answered.
+func (w *Watcher) survey(ctx context.Context, g egret.Group, timeout time.Duration, enough int) []egret.MemberState {
 	ctx, cancel := patient(ctx, timeout)
 	defer cancel()
 	calls := []func() (egret.MemberState, error){}
@@ -84,7 +103,7 @@
 			return w.Control.Status(ctx, m)
 		})
 	}
-	return collect(calls, len(g.Members), 0, nil)
+	return collect(calls, enough, fenceGrace, nil)
 }
 
 // lookGrace and fenceGrace are how long further members are waited for once enough have answered.
--- a/promo/promo_test.go
+++ b/promo/promo_test.go
@@ -80,6 +80,16 @@
 			},
 			most: 12 * time.Second,
 		},
+		{
+			name: "cut from all but the holder of its lane",
+			fail: func(w *world) {
+				w.cut[link{"proxy-2", "member-1"}] = true
+				w.cut[link{"proxy-3", "member-1"}] = true
+				w.cut[link{"member-1", "member-2"}] = true
+				w.cut[link{"member-1", "member-3"}] = true
+			},
+			most: 9 * time.Second,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
