--- a/egretlab/proof/cluster_test.go
+++ b/egretlab/proof/cluster_test.go
@@ -268,7 +268,8 @@
 
 func (c *cluster) startProxy(p *node) *process {
 	c.t.Helper()
-	key := filepath.Join(c.dir, "token.key")
+	// A file of its own: writing it again would empty it for a moment under another proxy's reading.
+	key := filepath.Join(c.dir, p.name+".key")
 	if err := os.WriteFile(key, []byte(tokenKey+"\n"), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
