peer: look up regions by address, and watch other regions twice a second

Cause: each call between proxies searched all live nodes for the region, and a paused proxy in another region was noticed a second later than a near one. Change: a table of regions beside the live nodes; far partners are due each 500 ms in fleets of up to 64.

--- a/peer/beat.go
+++ b/peer/beat.go
@@ -30,7 +30,7 @@
 
 	// farBeat is the interval of exchanges with the partners of other regions in fleets of up to
 	// farFleet. It grows with the size up to maxFarBeat.
-	farBeat    = time.Second
+	farBeat    = 500 * time.Millisecond
 	maxFarBeat = 5 * time.Second
 	farFleet   = 64
 
--- a/peer/counts.go
+++ b/peer/counts.go
@@ -70,12 +70,7 @@
 
 // regionOf returns the region of the live proxy at the address, or "".
 func (m *Mesh) regionOf(a netip.AddrPort) string {
-	for _, n := range *m.live.Load() {
-		if n.Address == a {
-			return n.Region
-		}
-	}
-	return ""
+	return (*m.regions.Load())[a]
 }
 
 // Limits of the server's connections.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -100,6 +100,7 @@
 	counts   *counts
 	answered atomic.Bool
 	live     atomic.Pointer[[]egret.Node]
+	regions  atomic.Pointer[map[netip.AddrPort]string]
 	stale    atomic.Bool
 	revision atomic.Uint64
 	pulling  atomic.Bool
@@ -313,7 +314,12 @@
 	live := m.table.Nodes(func(n egret.Node) bool {
 		return n.State == egret.NodeAlive || n.State == egret.NodeSuspect
 	})
+	regions := make(map[netip.AddrPort]string, len(live))
+	for _, n := range live {
+		regions[n.Address] = n.Region
+	}
 	m.live.Store(&live)
+	m.regions.Store(&regions)
 	m.counts.nodes.Set(float64(len(live)))
 }
 
