--- a/egretlab/links/plan.go
+++ b/egretlab/links/plan.go
@@ -80,7 +80,7 @@
 	Cause Cause `yaml:"cause"`
 }
 
-// any stands for every place in a cut.
+// anyPlace stands for every place in a cut.
 const anyPlace = "*"
 
 // is reports whether a name in a cut means the place.
--- a/egretlab/load/session.go
+++ b/egretlab/load/session.go
@@ -21,7 +21,7 @@
 	// roamPercent of the requests are followed by a move to another proxy.
 	roamPercent = 2
 
-	// bareePercent of the moves hand no token on.
+	// barePercent of the moves hand no token on.
 	barePercent = 20
 )
 
--- a/egretlab/sites/sites.go
+++ b/egretlab/sites/sites.go
@@ -114,9 +114,21 @@
 		Database: "catalogo-db",
 		Pool:     "catalogo",
 		Domains: []Domain{
-			{Name: "lecco-a", Region: "lombardia", Proxies: 3},
-			{Name: "lecco-b", Region: "lombardia", Proxies: 3},
-			{Name: "padova-a", Region: "veneto", Proxies: 2},
+			{
+				Name:    "lecco-a",
+				Region:  "lombardia",
+				Proxies: 3,
+			},
+			{
+				Name:    "lecco-b",
+				Region:  "lombardia",
+				Proxies: 3,
+			},
+			{
+				Name:    "padova-a",
+				Region:  "veneto",
+				Proxies: 2,
+			},
 		},
 		DomainLatency: time.Millisecond,
 		RegionLatency: 8 * time.Millisecond,
@@ -143,9 +155,21 @@
 		Database: "orders-db",
 		Pool:     "orders",
 		Domains: []Domain{
-			{Name: "bzh-rennes", Region: "bretagne", Proxies: 3},
-			{Name: "bzh-brest", Region: "bretagne", Proxies: 3},
-			{Name: "pdl-nantes", Region: "pays-de-la-loire", Proxies: 2},
+			{
+				Name:    "bzh-rennes",
+				Region:  "bretagne",
+				Proxies: 3,
+			},
+			{
+				Name:    "bzh-brest",
+				Region:  "bretagne",
+				Proxies: 3,
+			},
+			{
+				Name:    "pdl-nantes",
+				Region:  "pays-de-la-loire",
+				Proxies: 2,
+			},
 		},
 		DomainLatency: 500 * time.Microsecond,
 		RegionLatency: 8 * time.Millisecond,
