egret, place, peer, entry, lane: one place for labels and for the short hash

Cause: the labels of outcomes and reasons stood in entry and lane, the short hash of a proxy's ID in entry and peer; a change to one would have broken cancels or charts. Conclusion: no change of behaviour.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -23,10 +23,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretlane.example/egret"
 	"egretlane.example/egret/caller"
+	"egretlane.example/egret/place"
 	"egretlane.example/egret/retry"
 	"egretlane.example/egret/route"
 	"egretlane.example/egret/token"
@@ -153,7 +152,7 @@
 	k := caller.CancelKey{}
 	// Read never fails: the library ends the process if the system has no random numbers.
 	_, _ = rand.Read(k.Secret[:])
-	node := NodeHash(d.Peers.Self().ID)
+	node := place.ShortHash(d.Peers.Self().ID)
 	for range math.MaxUint16 {
 		d.last++
 		k.Process = uint32(node)<<16 | uint32(d.last)
@@ -169,11 +168,6 @@
 	return int(d.open.Load())
 }
 
-// NodeHash returns the hash of a proxy's ID that the upper half of its sessions' numbers has.
-func NodeHash(id string) uint16 {
-	return uint16(xxhash.Sum64String(id))
-}
-
 func (d *Desk) add(s *session) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -55,38 +55,5 @@
 	if f == nil {
 		return "ok"
 	}
-	switch f.Outcome {
-	case egret.NotRun:
-		return "not-run"
-	case egret.Rejected:
-		return "rejected"
-	default:
-		return "unknown"
-	}
-}
-
-// reasonLabel names a reason for a try again.
-func reasonLabel(r egret.Reason) string {
-	switch r {
-	case egret.ReasonFloor:
-		return "floor"
-	case egret.ReasonNotPrimary:
-		return "not-primary"
-	case egret.ReasonNoLane:
-		return "no-lane"
-	case egret.ReasonQueue:
-		return "queue"
-	case egret.ReasonMember:
-		return "member"
-	case egret.ReasonReadOnly:
-		return "read-only"
-	case egret.ReasonLeaving:
-		return "leaving"
-	case egret.ReasonRefused:
-		return "refused"
-	case egret.ReasonConfirm:
-		return "confirm"
-	default:
-		return "other"
-	}
+	return f.Outcome.Label()
 }
--- a/entry/try.go
+++ b/entry/try.go
@@ -23,14 +23,14 @@
 			return egret.Completion{}, f
 		}
 		if q.learn(f) {
-			q.session.desk.Metrics.Retries.WithLabelValues(reasonLabel(f.Reason)).Inc()
+			q.session.desk.Metrics.Retries.WithLabelValues(f.Reason.Label()).Inc()
 			continue
 		}
 		wait, ok := q.plan.Next(time.Now(), random(), isFree(f))
 		if !ok || q.session.isCanceled() {
 			return egret.Completion{}, f
 		}
-		q.session.desk.Metrics.Retries.WithLabelValues(reasonLabel(f.Reason)).Inc()
+		q.session.desk.Metrics.Retries.WithLabelValues(f.Reason.Label()).Inc()
 		pause(ctx, wait)
 	}
 }
--- a/failure.go
+++ b/failure.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// Label returns the outcome as a label of metrics.
+func (o Outcome) Label() string {
+	switch o {
+	case NotRun:
+		return "not-run"
+	case Rejected:
+		return "rejected"
+	default:
+		return "unknown"
+	}
+}
+
 // Reason tells the entry what to do about a failure.
 type Reason int
 
@@ -85,6 +97,32 @@
 	ReasonConfirm
 )
 
+// Label returns the reason as a label of metrics.
+func (r Reason) Label() string {
+	switch r {
+	case ReasonFloor:
+		return "floor"
+	case ReasonNotPrimary:
+		return "not-primary"
+	case ReasonNoLane:
+		return "no-lane"
+	case ReasonQueue:
+		return "queue"
+	case ReasonMember:
+		return "member"
+	case ReasonReadOnly:
+		return "read-only"
+	case ReasonLeaving:
+		return "leaving"
+	case ReasonConfirm:
+		return "confirm"
+	case ReasonRefused:
+		return "refused"
+	default:
+		return "other"
+	}
+}
+
 // SQLSTATE codes that egretlane itself reports.
 const (
 	// CodeNotRun is reported for requests that did not run and may be sent again.
--- a/lane/metric.go
+++ b/lane/metric.go
@@ -124,7 +124,7 @@
 		m.Exchanges.WithLabelValues("answered", "").Inc()
 		return
 	}
-	m.Exchanges.WithLabelValues(outcomeLabel(f.Outcome), reasonLabel(f.Reason)).Inc()
+	m.Exchanges.WithLabelValues(f.Outcome.Label(), f.Reason.Label()).Inc()
 }
 
 // served counts the end of a batch's slot.
@@ -142,39 +142,3 @@
 	m.Running.DeletePartialMatch(labels)
 	m.Queued.DeletePartialMatch(labels)
 }
-
-func outcomeLabel(o egret.Outcome) string {
-	switch o {
-	case egret.NotRun:
-		return "not-run"
-	case egret.Rejected:
-		return "rejected"
-	default:
-		return "unknown"
-	}
-}
-
-func reasonLabel(r egret.Reason) string {
-	switch r {
-	case egret.ReasonFloor:
-		return "floor"
-	case egret.ReasonNotPrimary:
-		return "not-primary"
-	case egret.ReasonNoLane:
-		return "no-lane"
-	case egret.ReasonQueue:
-		return "queue"
-	case egret.ReasonMember:
-		return "member"
-	case egret.ReasonReadOnly:
-		return "read-only"
-	case egret.ReasonLeaving:
-		return "leaving"
-	case egret.ReasonConfirm:
-		return "confirm"
-	case egret.ReasonRefused:
-		return "refused"
-	default:
-		return "other"
-	}
-}
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -10,6 +10,7 @@
 	"egretlane.example/egret"
 	"egretlane.example/egret/internal/peerpb"
 	"egretlane.example/egret/peer/roster"
+	"egretlane.example/egret/place"
 )
 
 // Leave tells the others that this proxy leaves. They place no lanes on it from then on. It returns
@@ -40,7 +41,7 @@
 	m.open()
 	calls := []func() bool{}
 	for _, n := range m.Nodes() {
-		if n.State == egret.NodeDead || uint32(ShortHash(n.ID)) != process>>16 {
+		if n.State == egret.NodeDead || uint32(place.ShortHash(n.ID)) != process>>16 {
 			continue
 		}
 		calls = append(calls, func() bool {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -35,6 +35,7 @@
 	"egretlane.example/egret/internal/peerpb"
 	"egretlane.example/egret/peer/dial"
 	"egretlane.example/egret/peer/roster"
+	"egretlane.example/egret/place"
 )
 
 // Mesh is this proxy's part in the mesh of proxies. It implements egret.Peers.
@@ -156,7 +157,7 @@
 		m.table.Suspicion = m.Timing.Suspicion
 		m.table.Forget = m.Timing.Forget
 		m.table.Start(m.Node, now)
-		m.random = rand.New(rand.NewPCG(uint64(ShortHash(m.Node.ID)), m.Node.Incarnation))
+		m.random = rand.New(rand.NewPCG(uint64(place.ShortHash(m.Node.ID)), m.Node.Incarnation))
 		m.urgent = make(chan struct{}, 1)
 		m.news = make(chan struct{})
 		m.next = map[string]time.Time{}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/place"
 )
 
 const fleetSize = 20
@@ -146,7 +147,7 @@
 	f.proxies[2].OnCancel = func(process uint32, secret []byte) bool {
 		return string(secret) == "secret"
 	}
-	process := uint32(ShortHash("proxy-3"))<<16 | 7
+	process := uint32(place.ShortHash("proxy-3"))<<16 | 7
 	if !f.proxies[0].CancelAt(context.Background(), process, []byte("secret")) {
 		t.Error("the cancel request found no session")
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -3,19 +3,11 @@
 import (
 	"net/netip"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretlane.example/egret"
 	"egretlane.example/egret/internal/peerpb"
 	"egretlane.example/egret/peer/roster"
 )
 
-// ShortHash is the part of a session's process number that names its proxy. It goes into the upper
-// half of the number.
-func ShortHash(id string) uint16 {
-	return uint16(xxhash.Sum64String(id))
-}
-
 func nodeToWire(n egret.Node) *peerpb.Node {
 	return &peerpb.Node{
 		Id:          n.ID,
--- a/place/place.go
+++ b/place/place.go
@@ -68,6 +68,12 @@
 	return best
 }
 
+// ShortHash is the part of a session's process number that names its proxy, in the upper half of the
+// number. Two proxies may share it.
+func ShortHash(id string) uint16 {
+	return uint16(xxhash.Sum64String(id))
+}
+
 // rank orders proxies for a member's lane.
 type rank struct {
 	// nearness goes before weight.
