lane: take over from a frozen proxy sooner

Ruled out: ending its connections on suspicion (it may still refute that); the calm of 5 s after losing locks, which keeps two proxies that don't see each other from ending each other's connections and did not enter here. Change: a proxy that is dead to its peers keeps its locks for 500 ms in place of 2 s.

--- a/lane/absent.go
+++ b/lane/absent.go
@@ -7,7 +7,7 @@
 )
 
 // absentWait is how long a proxy must be gone before its connections are ended on a member.
-const absentWait = 2 * time.Second
+const absentWait = 500 * time.Millisecond
 
 // absence notes since when proxies that hold locks on members are absent. The zero absence is
 // ready to use.
