front: a trace's spans are waited for together with their parents

Ruled out: a lost parent (it is in the log a moment later). Change: the condition that is waited for includes that each span has its parent. What must hold in the end is the same, within the same time.

--- a/egretlab/front/start_test.go
+++ b/egretlab/front/start_test.go
@@ -72,24 +72,35 @@
 		}
 	}
 	var found []span
-	until(t, "the spans", func() error {
+	until(t, "the spans and their parents", func() error {
+		// Each proxy exports its spans in batches of its own, so that a child may come before its parent.
 		found = nil
 		for _, p := range s.proxies {
 			found = append(found, spansOf(p.logged(), trace)...)
 		}
-		return missing(found, "entry.request", "lane.queue", "lane.exchange", "member.exchange", "egretlane.lane.Lane/Transact")
+		if err := missing(found, "entry.request", "lane.queue", "lane.exchange", "member.exchange", "egretlane.lane.Lane/Transact"); err != nil {
+			return err
+		}
+		return orphan(found, parent)
 	})
+	for _, f := range found {
+		if (f.Name == "entry.request") != (f.Parent.SpanID == parent) {
+			t.Errorf("the span %s has the parent %s", f.Name, f.Parent.SpanID)
+		}
+	}
+}
+
+// orphan returns an error that names a span whose parent is neither among those found nor the caller's.
+func orphan(found []span, parent string) error {
 	for _, f := range found {
 		known := f.Parent.SpanID == parent || slices.ContainsFunc(found, func(o span) bool {
 			return o.SpanContext.SpanID == f.Parent.SpanID
 		})
 		if !known {
-			t.Errorf("the span %s has no parent in the trace", f.Name)
-		}
-		if (f.Name == "entry.request") != (f.Parent.SpanID == parent) {
-			t.Errorf("the span %s has the parent %s", f.Name, f.Parent.SpanID)
+			return fmt.Errorf("the span %s has no parent in the trace", f.Name)
 		}
 	}
+	return nil
 }
 
 // spansOf returns the spans of a trace from a log that has other lines too.
