--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,383 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/clock"
+	"egretlane.example/egret/trail"
+)
+
+// Times of holdings.
+const (
+	// TTL is how long a holding lasts without a renewal. A silent holder is replaced no sooner, so it
+	// is short; it is several times what a slow store takes to answer.
+	TTL = 1500 * time.Millisecond
+
+	// margin is added to the wait for a former holder, for clocks that run at different speeds.
+	margin = 100 * time.Millisecond
+
+	// renewInterval leaves time for two more tries before a holding lapses.
+	renewInterval = 400 * time.Millisecond
+
+	// readTimeout bounds a renewal, so that a silent connection leaves time for another.
+	readTimeout = 600 * time.Millisecond
+
+	// tickInterval is how often a process looks whether it should take over.
+	tickInterval = 50 * time.Millisecond
+
+	// silence is how long a holder doesn't answer before it is replaced.
+	silence = 600 * time.Millisecond
+
+	// absence is how long a key stays away before others than its holder write it. The holder itself
+	// writes it at once.
+	absence = 700 * time.Millisecond
+
+	// rankStep is the head start that a better placed process has before the next.
+	rankStep = 150 * time.Millisecond
+
+	// releaseTimeout bounds the release of a service.
+	releaseTimeout = time.Second
+)
+
+// Self is the process that claims services.
+type Self struct {
+	// Node is the process's name. Incarnation is unique for each run of it.
+	Node, Incarnation string
+
+	// Address is where the process serves its peers. No other process listens there.
+	Address netip.AddrPort
+}
+
+// Peers is what is known of the other processes.
+type Peers interface {
+	// Rank returns how many live processes are better placed to hold the service.
+	Rank(service string) int
+
+	// Silent returns for how long the process has not answered. It is zero if it answers, or if a
+	// live process hears it.
+	Silent(r Record) time.Duration
+
+	// Stopped reports whether the process is known to have ended or to have left the service.
+	Stopped(ctx context.Context, r Record, revision uint64) bool
+}
+
+// Claim is one process's part in the holding of one service. It implements egret.Holding.
+type Claim struct {
+	// Service names the service.
+	Service string
+
+	// Keys is the store.
+	Keys egret.Keyspace
+
+	// Self is this process.
+	Self Self
+
+	// Peers is what is known of others.
+	Peers Peers
+
+	// Held is called when this process holds the service, and the returned function when it no
+	// longer does.
+	Held func(c *Claim) (lost func())
+
+	// Trail writes decisions. It may be nil.
+	Trail *trail.Trail
+
+	kick chan struct{}
+
+	// mu guards all below. It is never held during I/O.
+	mu sync.Mutex
+
+	// seen is the newest record. known says that one was read, or that its absence was.
+	seen      Seen
+	known     bool
+	changedAt clock.Time
+
+	// mine is the key's revision while this process is its holder, else zero. token was mine when
+	// the service was taken.
+	mine, token uint64
+
+	// former is the record that this process replaced, until it may use the service.
+	former Seen
+
+	// usableFrom is when the former holder's right has lapsed. validUntil is when this process's
+	// right does; it is zero until a read after usableFrom has shown the key unchanged.
+	usableFrom, validUntil clock.Time
+
+	// lost ends what Held began. It is nil before.
+	lost func()
+
+	// refrain is until when this process has promised not to take over.
+	refrain clock.Time
+
+	// unsettled is the revision on which a write without an answer depends, plus one, or zero. It
+	// may still be carried out.
+	unsettled uint64
+
+	// leaving says that the process takes no services.
+	leaving bool
+}
+
+// Init prepares the claim. It is called once, before any other method.
+func (c *Claim) Init() {
+	c.kick = make(chan struct{}, 1)
+}
+
+// Run claims and renews until the context ends.
+func (c *Claim) Run(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	renewed := clock.Time(0)
+	for {
+		select {
+		case <-ctx.Done():
+			c.stop("the process stops")
+			return nil
+		case <-tick.C:
+		case <-c.kick:
+		}
+		c.mu.Lock()
+		holding := c.mine != 0
+		c.mu.Unlock()
+		switch {
+		case !holding:
+			c.consider(ctx)
+		case c.waiting(ctx):
+		case clock.Since(renewed) >= renewInterval || !c.Valid():
+			renewed = clock.Now()
+			c.renew(ctx)
+		}
+	}
+}
+
+// Valid reports whether this process may use the service now.
+func (c *Claim) Valid() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mine != 0 && clock.Now() < c.validUntil
+}
+
+// Left returns how long the right lasts without a renewal.
+func (c *Claim) Left() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mine == 0 {
+		return 0
+	}
+	return clock.Until(c.validUntil)
+}
+
+// Token returns the revision at which the service was taken.
+func (c *Claim) Token() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.token
+}
+
+// Holder returns the name of the node.
+func (c *Claim) Holder() string {
+	return c.Self.Node
+}
+
+// Primary returns the member that was made primary last.
+func (c *Claim) Primary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen.Record.Primary
+}
+
+// Seen returns the newest record, and whether any was read.
+func (c *Claim) Seen() (Seen, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen, c.known
+}
+
+// Observe takes an item of the service's key that was read or watched.
+func (c *Claim) Observe(item egret.Item) {
+	s, err := decode(item)
+	if err != nil {
+		c.Trail.Event("record-unreadable").Str("service", c.Service).Uint64("revision", item.Revision).Err(err).Msg("the holder's record can't be read")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known && item.Revision <= c.seen.Revision && !(item.Removed || item.Revision == 0) {
+		return
+	}
+	if item.Removed && item.Revision < c.seen.Revision {
+		return
+	}
+	c.observe(s)
+}
+
+// observe takes a record that is newer than the one known. The caller holds mu.
+func (c *Claim) observe(s Seen) {
+	if c.known && s == c.seen {
+		return
+	}
+	c.Trail.Event("holder-seen").Str("service", c.Service).Str("holder", s.Record.Node).Uint64("revision", s.Revision).
+		Uint64("before", c.seen.Revision).Bool("released", s.Record.Released).Str("primary", s.Record.Primary).Msg("the service's record changed")
+	previous := c.seen
+	c.seen = s
+	c.known = true
+	c.changedAt = clock.Now()
+	if c.unsettled != 0 && s.Revision+1 != c.unsettled {
+		c.unsettled = 0
+	}
+	if c.mine == 0 {
+		c.wake()
+		return
+	}
+	switch {
+	case s.Revision == 0:
+		// The store dropped the key. Its primary is kept for the next write.
+		c.seen.Record.Primary = previous.Record.Primary
+	case c.own(s.Record) && !s.Record.Released && clock.Now() < c.validUntil:
+		c.mine = s.Revision
+	case c.own(s.Record) && !s.Record.Released:
+		c.end("a late write of the record came after the right had lapsed")
+	default:
+		c.end("another process took the service")
+	}
+	c.wake()
+}
+
+// own reports whether the record is this process's.
+func (c *Claim) own(r Record) bool {
+	return r.Node == c.Self.Node && r.Incarnation == c.Self.Incarnation
+}
+
+// end gives up the service. The caller holds mu.
+func (c *Claim) end(cause string) {
+	c.Trail.Event("service-lost").Str("service", c.Service).Str("cause", cause).Uint64("revision", c.mine).Msg("this process no longer holds the service")
+	c.mine = 0
+	c.validUntil = 0
+	if c.lost != nil {
+		go c.lost()
+		c.lost = nil
+	}
+}
+
+func (c *Claim) stop(cause string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mine != 0 {
+		c.end(cause)
+	}
+}
+
+func (c *Claim) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Promise keeps this process from taking the service over for a time, if the record is still the
+// one with the revision and no write of its own may be on its way.
+func (c *Claim) Promise(revision uint64, d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unsettled != 0 || c.mine != 0 || c.known && c.seen.Revision > revision {
+		return false
+	}
+	c.refrain = max(c.refrain, clock.Now().Add(d))
+	return true
+}
+
+// Leave keeps this process from taking the service.
+func (c *Claim) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+}
+
+// Release gives the service to others. The caller has stopped to use it.
+func (c *Claim) Release(ctx context.Context, successor string) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	c.mu.Lock()
+	revision, record := c.mine, c.seen.Record
+	c.mu.Unlock()
+	if revision == 0 {
+		return
+	}
+	record.Released = true
+	record.Successor = successor
+	for ctx.Err() == nil {
+		_, err := c.write(ctx, revision, record)
+		c.Trail.Event("service-released").Str("service", c.Service).Uint64("revision", revision).Str("successor", successor).Err(err).Msg("this process has left the service")
+		if err == nil || errors.Is(err, egret.ErrConflict) {
+			break
+		}
+	}
+	c.stop("released")
+}
+
+// SetPrimary records the member that is about to be made primary.
+func (c *Claim) SetPrimary(ctx context.Context, member string) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	c.mu.Lock()
+	revision, record := c.mine, c.record()
+	c.mu.Unlock()
+	if revision == 0 {
+		return errors.Annotatef(egret.ErrLeaseLapsed, "service %s", c.Service)
+	}
+	record.Primary = member
+	written, err := c.write(ctx, revision, record)
+	if err != nil {
+		// The write may have been carried out. The next read tells.
+		if item, readErr := c.Keys.Read(ctx, c.key()); readErr == nil {
+			c.Observe(item)
+		}
+		if c.Primary() == member && c.Valid() {
+			return nil
+		}
+		return errors.Annotatef(err, "primary of %s", c.Service)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mine == revision {
+		c.mine = written
+		c.seen = Seen{
+			Record:   record,
+			Revision: written,
+		}
+	}
+	return nil
+}
+
+// record returns the record that names this process. The caller holds mu.
+func (c *Claim) record() Record {
+	return Record{
+		Node:        c.Self.Node,
+		Incarnation: c.Self.Incarnation,
+		Address:     c.Self.Address,
+		Primary:     c.seen.Record.Primary,
+	}
+}
+
+func (c *Claim) key() string {
+	return Prefix + c.Service
+}
+
+func (c *Claim) write(ctx context.Context, revision uint64, r Record) (uint64, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	return c.Keys.Swap(ctx, c.key(), revision, data, 0)
+}
+
+// jitter spreads the calls of processes that wait for the same event.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
--- /dev/null
+++ b/egretlane/directory.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/platform"
+	"egretlane.example/egret/trail"
+	"egretlane.example/egret/watch"
+)
+
+// directory knows the configuration in force and the members that have an entry.
+type directory struct {
+	keys  egret.Keyspace
+	trail *trail.Trail
+
+	// configured is called with each newer configuration.
+	configured func(t *egret.Tables)
+
+	// changed is called with the members of a service when one of them changes.
+	changed func(service string, members []egret.Backend)
+
+	// tables is the configuration in force. Its version never falls.
+	tables atomic.Pointer[egret.Tables]
+
+	// needed wakes the watch of members.
+	needed chan struct{}
+
+	mu sync.Mutex
+
+	// raw is the configuration as the operator wrote it.
+	raw []byte
+
+	members map[string]egret.Backend
+}
+
+func newDirectory(keys egret.Keyspace, t *trail.Trail) *directory {
+	return &directory{
+		keys:    keys,
+		trail:   t,
+		needed:  make(chan struct{}, 1),
+		members: map[string]egret.Backend{},
+	}
+}
+
+// watchTables follows the operator's configuration.
+func (d *directory) watchTables(ctx context.Context) error {
+	w := watch.Watch{
+		Keys:   d.keys,
+		Prefix: platform.OperatorPrefix,
+		Reset: func(items []egret.Item) {
+			for _, item := range items {
+				d.operator(item)
+			}
+		},
+		Change: d.operator,
+		Trail:  d.trail,
+	}
+	return w.Run(ctx)
+}
+
+// operator takes a key that the operator wrote.
+func (d *directory) operator(item egret.Item) {
+	if item.Key == platform.ConfigKey && !item.Removed {
+		d.take(item.Data, "store")
+	}
+}
+
+// take puts a configuration in force if it is newer than the one that is.
+func (d *directory) take(data []byte, source string) {
+	t, err := platform.DecodeTables(data)
+	if t == nil {
+		d.trail.Event("configuration-refused").Str("source", source).Err(err).Msg("the configuration can't be read; the one in force stays")
+		return
+	}
+	d.mu.Lock()
+	now := d.tables.Load()
+	if now != nil && t.Revision <= now.Revision {
+		d.mu.Unlock()
+		return
+	}
+	d.tables.Store(t)
+	d.raw = data
+	d.mu.Unlock()
+	before := uint64(0)
+	if now != nil {
+		before = now.Revision
+	}
+	d.trail.Event("configuration-in-force").Str("source", source).Uint64("version", t.Revision).Uint64("before", before).
+		Int("routes", len(t.Routes)).Int("services", len(t.Pools)).Err(err).Msg("a newer configuration is in force")
+	d.configured(t)
+}
+
+// above returns the configuration in force if its version is higher.
+func (d *directory) above(version uint64) (uint64, []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tables.Load()
+	if t == nil || t.Revision <= version {
+		return 0, nil
+	}
+	return t.Revision, d.raw
+}
+
+// watchMembers follows the members while they are needed, which held tells.
+func (d *directory) watchMembers(ctx context.Context, held func() bool) error {
+	w := watch.Watch{
+		Keys:   d.keys,
+		Prefix: platform.MembersPrefix,
+		Reset:  d.resetMembers,
+		Change: d.changeMember,
+		Trail:  d.trail,
+	}
+	d.listOnce(ctx)
+	for ctx.Err() == nil {
+		if !held() {
+			select {
+			case <-ctx.Done():
+			case <-d.needed:
+			}
+			continue
+		}
+		run, cancel := context.WithCancel(ctx)
+		go func() {
+			for held() && run.Err() == nil {
+				time.Sleep(time.Second)
+			}
+			cancel()
+		}()
+		if err := w.Run(run); err != nil {
+			cancel()
+			return err
+		}
+		cancel()
+	}
+	return nil
+}
+
+// listOnce reads the members at the start, to know where primaries are.
+func (d *directory) listOnce(ctx context.Context) {
+	items, _, err := d.keys.List(ctx, platform.MembersPrefix)
+	if err != nil {
+		d.trail.Event("members-unknown").Err(err).Msg("the members could not be listed at the start")
+		return
+	}
+	d.resetMembers(items)
+}
+
+// need starts the watch of members.
+func (d *directory) need() {
+	select {
+	case d.needed <- struct{}{}:
+	default:
+	}
+}
+
+func (d *directory) resetMembers(items []egret.Item) {
+	members := map[string]egret.Backend{}
+	services := map[string]bool{}
+	for _, item := range items {
+		if b, ok := d.decode(item); ok {
+			members[b.ID] = b
+			services[b.Service] = true
+		}
+	}
+	d.mu.Lock()
+	for _, b := range d.members {
+		services[b.Service] = true
+	}
+	d.members = members
+	d.mu.Unlock()
+	for service := range services {
+		d.changed(service, d.of(service))
+	}
+}
+
+func (d *directory) changeMember(item egret.Item) {
+	id := platform.MemberID(item.Key)
+	d.mu.Lock()
+	before, known := d.members[id]
+	d.mu.Unlock()
+	b, ok := d.decode(item)
+	d.mu.Lock()
+	if ok {
+		d.members[id] = b
+	} else {
+		delete(d.members, id)
+	}
+	d.mu.Unlock()
+	if known && (!ok || before.Service != b.Service) {
+		d.changed(before.Service, d.of(before.Service))
+	}
+	if ok && (!known || before != b) {
+		d.changed(b.Service, d.of(b.Service))
+	}
+}
+
+// decode reads an entry. One that can't be read names no member.
+func (d *directory) decode(item egret.Item) (egret.Backend, bool) {
+	if item.Removed {
+		return egret.Backend{}, false
+	}
+	b, err := platform.DecodeMember(item.Key, item.Data)
+	if err != nil {
+		d.trail.Event("member-unreadable").Str("key", item.Key).Uint64("revision", item.Revision).Err(err).Msg("the entry names no member")
+		return egret.Backend{}, false
+	}
+	return b, true
+}
+
+// of returns the members of a service.
+func (d *directory) of(service string) []egret.Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	members := []egret.Backend{}
+	for _, b := range d.members {
+		if b.Service == service {
+			members = append(members, b)
+		}
+	}
+	return members
+}
+
+// member returns the member with the ID.
+func (d *directory) member(id string) (egret.Backend, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, found := d.members[id]
+	return b, found
+}
+
+// home returns the failure domain of a service's primary, as its entry said when it was read.
+func (d *directory) home(service string) string {
+	for _, b := range d.of(service) {
+		if b.Role == egret.RolePrimary {
+			return b.Domain
+		}
+	}
+	return ""
+}
--- a/egretlane/main.go
+++ b/egretlane/main.go
@@ -19,6 +19,7 @@
 		Name:                  "egretlane",
 		Usage:                 "database proxy with session consistency",
 		Flags:                 s.flags(),
+		Commands:              []*cli.Command{fleetCommand()},
 		EnableShellCompletion: true,
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			return serve(ctx, s)
--- /dev/null
+++ b/egretlane/shutdown.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// rotationTime is how long the platform goes on to send new connections after the process has
+	// said that it isn't ready: two questions, a second apart, and some.
+	rotationTime = 2200 * time.Millisecond
+
+	// transactionTime is how long an open transaction has to end.
+	transactionTime = time.Second
+
+	// laneTime is how long transactions on a lane have to end before its service is released.
+	laneTime = 500 * time.Millisecond
+)
+
+// shutDown leaves the fleet: the services go to others, and the sessions end when they rest.
+func (n *node) shutDown() {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.trail.Event("process-leaving").Int("services", len(n.fleet.Lanes())).Msg("the process was told to stop")
+	n.fleet.Leave()
+	wg := sync.WaitGroup{}
+	for _, l := range n.fleet.Lanes() {
+		wg.Go(func() {
+			l.Drain(laneTime)
+			if c := n.fleet.Claim(l.Service); c != nil {
+				c.Release(context.Background(), "")
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(rotationTime - time.Since(began))
+	n.front.Drain()
+	left := n.front.Wait(min(transactionTime, time.Duration(n.settings.ShutdownGrace)-time.Since(began)))
+	n.trail.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(began)).Msg("the sessions were ended")
+}
--- /dev/null
+++ b/fleet/peers.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretlane.example/egret/claim"
+	"egretlane.example/egret/clock"
+)
+
+const (
+	// listenInterval is how often holders are pinged by the processes that would replace them.
+	listenInterval = 200 * time.Millisecond
+
+	// listeners is how many of the best placed processes ping a holder. More would only delay a
+	// takeover when all of them are lost as well.
+	listeners = 4
+
+	// doubtAfter is how long a holder doesn't answer before other proxies are asked about it.
+	doubtAfter = 250 * time.Millisecond
+
+	// askPause is the time between two rounds of questions about a proxy.
+	askPause = 250 * time.Millisecond
+
+	// witnesses is how many proxies are asked about another one at once.
+	witnesses = 2
+
+	// detourAge is how long a proxy's word counts that it hears another one.
+	detourAge = 700 * time.Millisecond
+)
+
+// Rank returns how many live processes are better placed to hold the service: those that hold fewer
+// services, then those near its primary, then by a hash that differs for each service.
+func (f *Fleet) Rank(service string) int {
+	domain, region := f.Home(service)
+	f.mu.Lock()
+	nodes := []Node{}
+	for _, n := range f.nodes {
+		nodes = append(nodes, n)
+	}
+	f.mu.Unlock()
+	held := map[string]int{}
+	holder := ""
+	for _, c := range f.allClaims() {
+		s, known := c.Seen()
+		if !known || s.Revision == 0 || s.Record.Released {
+			continue
+		}
+		if c.Service == service {
+			holder = s.Record.Node
+			continue
+		}
+		held[s.Record.Node]++
+	}
+	score := func(n Node) uint64 {
+		s := uint64(held[n.ID]) << 60
+		if n.Region != region {
+			s += 1 << 59
+		}
+		if n.Domain != domain {
+			s += 1 << 58
+		}
+		return s + xxhash.Sum64String(service+" "+n.ID)>>8
+	}
+	own := score(f.Self)
+	rank := 0
+	for _, n := range nodes {
+		if n.ID != f.Self.ID && n.ID != holder && score(n) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Silent returns for how long the process has not answered, or zero if another proxy hears it.
+func (f *Fleet) Silent(r claim.Record) time.Duration {
+	_, asked := f.Pool.Heard(r.Address)
+	if asked == 0 {
+		return 0
+	}
+	silent := clock.Since(asked)
+	if silent > doubtAfter {
+		f.doubt(r.Address, r.Incarnation)
+	}
+	if _, heard := f.detour(r.Address); heard {
+		return 0
+	}
+	return silent
+}
+
+// Stopped reports whether another process answers at the address of the one in the record.
+func (f *Fleet) Stopped(ctx context.Context, r claim.Record, _ uint64) bool {
+	if !r.Address.IsValid() {
+		return false
+	}
+	reply, err := f.Pool.Ping(ctx, r.Address)
+	return err == nil && reply.GetIncarnation() != r.Incarnation
+}
+
+// detour returns a proxy that hears the one at the address.
+func (f *Fleet) detour(a netip.AddrPort) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, found := f.via[a]
+	return d.by, found && d.same && clock.Since(d.at) < detourAge
+}
+
+// doubt asks other proxies, in the background, whether they hear the one at the address.
+func (f *Fleet) doubt(a netip.AddrPort, incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asking[a] || f.run == nil {
+		return
+	}
+	f.asking[a] = true
+	others := []netip.AddrPort{}
+	for _, n := range f.nodes {
+		if n.ID != f.Self.ID && n.Address != a {
+			others = append(others, n.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), witnesses)]
+	for _, by := range others {
+		go f.question(f.run, by, a, incarnation)
+	}
+	time.AfterFunc(askPause, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.asking, a)
+	})
+}
+
+// question asks one proxy about another.
+func (f *Fleet) question(ctx context.Context, by, a netip.AddrPort, incarnation string) {
+	heard, answered, err := f.Pool.Hear(ctx, by, a)
+	f.Trail.Event("peer-doubted").Str("about", a.String()).Str("asked", by.String()).Bool("heard", heard).
+		Bool("same", answered == incarnation).Err(err).Msg("asked another proxy about one that doesn't answer")
+	if err != nil || !heard {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.via[a] = detour{
+		by:   by,
+		at:   clock.Now(),
+		same: answered == incarnation,
+	}
+}
+
+// Hear asks the proxy at the address for its incarnation.
+func (f *Fleet) Hear(ctx context.Context, a netip.AddrPort) (string, error) {
+	reply, err := f.Pool.Ping(ctx, a)
+	return reply.GetIncarnation(), err
+}
+
+// listen pings the holders of the services that this process would take over.
+func (f *Fleet) listen(ctx context.Context) error {
+	tick := time.NewTicker(listenInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			f.pingHolders(ctx)
+		}
+	}
+}
+
+func (f *Fleet) pingHolders(ctx context.Context) {
+	for _, c := range f.allClaims() {
+		s, known := c.Seen()
+		if !known || s.Revision == 0 || s.Record.Node == f.Self.ID {
+			continue
+		}
+		heard, asked := f.Pool.Heard(s.Record.Address)
+		due := asked != 0 || clock.Since(heard) > listenInterval && f.Rank(c.Service) < listeners
+		if due {
+			// The answer is noted in the pool.
+			go func() { _, _ = f.Pool.Ping(ctx, s.Record.Address) }()
+		}
+	}
+}
--- /dev/null
+++ b/front/server.go
@@ -0,0 +1,201 @@
+package front
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/clock"
+	"egretlane.example/egret/trail"
+)
+
+const (
+	// startTimeout bounds the opening of a session by a caller.
+	startTimeout = 5 * time.Second
+
+	// defaultTimeout bounds a statement whose route sets no time.
+	defaultTimeout = 5 * time.Second
+
+	// defaultIdle bounds the rest of a transaction if the operator sets no time.
+	defaultIdle = 10 * time.Second
+
+	// acceptPause is the pause after a failed accept, as for want of descriptors.
+	acceptPause = 50 * time.Millisecond
+)
+
+// Counts receives what the server counts. Methods must not block.
+type Counts interface {
+	// Sessions is called with the number of open sessions.
+	Sessions(n int)
+
+	// Answered is called for each statement that went to a member or was refused.
+	Answered(route string, kind egret.RouteKind, fault egret.FaultKind, elapsed time.Duration)
+}
+
+// Server serves callers. Its exported fields are set before Serve.
+type Server struct {
+	// Tables returns the configuration in force, or nil if there is none yet.
+	Tables func() *egret.Tables
+
+	// Codec reads and writes a caller's connection.
+	Codec func(c net.Conn) egret.CallerConn
+
+	// Open returns a stream for the statements of one session.
+	Open func() egret.Stream
+
+	// Limit bounds the open sessions. Zero sets no bound.
+	Limit int
+
+	// Trail writes decisions. It may be nil.
+	Trail *trail.Trail
+
+	// Counts may be nil.
+	Counts Counts
+
+	// draining says that sessions end as soon as they rest.
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	done     sync.WaitGroup
+}
+
+// Serve accepts callers until the listener is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.Trail.Event("accept-failed").Err(err).Msg("no connection could be accepted")
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.done.Add(1)
+		go func() {
+			defer s.done.Done()
+			s.serve(ctx, s.Codec(c))
+		}()
+	}
+}
+
+// Drain ends resting sessions now and the others after their transactions.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := range s.sessions {
+		if e.resting.Load() {
+			e.conn.Close()
+		}
+	}
+}
+
+// Open sessions that are in the middle of something.
+func (s *Server) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// Wait returns when all sessions have ended, or after the time. It returns how many are left.
+func (s *Server) Wait(d time.Duration) int {
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return 0
+	case <-time.After(d):
+		return s.busy()
+	}
+}
+
+// serve runs one session.
+func (s *Server) serve(ctx context.Context, c egret.CallerConn) {
+	defer c.Close()
+	database, err := c.Start(time.Now().Add(startTimeout))
+	if err != nil {
+		s.refuse(c, egret.FaultMalformed, "the session could not be opened: "+err.Error())
+		return
+	}
+	if s.route(database) == nil {
+		s.refuse(c, egret.FaultNoDatabase, "no route has database "+database)
+		return
+	}
+	e := &session{
+		server:   s,
+		conn:     c,
+		database: database,
+		prepared: map[string]egret.Prepared{},
+		stream:   s.Open(),
+	}
+	defer e.stream.Close()
+	if !s.enter(e) {
+		s.refuse(c, egret.FaultTooMany, "the proxy takes no more sessions")
+		return
+	}
+	defer s.leave(e)
+	if err := c.Admit(); err != nil {
+		return
+	}
+	e.run(ctx)
+}
+
+func (s *Server) refuse(c egret.CallerConn, kind egret.FaultKind, text string) {
+	s.Trail.Event("session-refused").Str("fault", kind.String()).Str("cause", text).Msg("the session was not opened")
+	// The caller may be gone already.
+	_ = c.Refuse(egret.Fault{
+		Kind: kind,
+		Text: text,
+	})
+}
+
+func (s *Server) enter(e *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Limit > 0 && len(s.sessions) >= s.Limit {
+		return false
+	}
+	if s.sessions == nil {
+		s.sessions = map[*session]struct{}{}
+	}
+	s.sessions[e] = struct{}{}
+	if s.Counts != nil {
+		s.Counts.Sessions(len(s.sessions))
+	}
+	return true
+}
+
+func (s *Server) leave(e *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, e)
+	if s.Counts != nil {
+		s.Counts.Sessions(len(s.sessions))
+	}
+}
+
+// route returns the route of a database in the configuration in force, or nil.
+func (s *Server) route(database string) *egret.Route {
+	t := s.Tables()
+	if t == nil {
+		return nil
+	}
+	return t.RouteOf(database)
+}
+
+// count notes a statement that went to a member or was refused.
+func (s *Server) count(r *egret.Route, a egret.Answer, began clock.Time) {
+	if s.Counts != nil {
+		s.Counts.Answered(r.Name, r.Kind, a.Fault.Kind, clock.Since(began))
+	}
+}
--- /dev/null
+++ b/link/convert.go
@@ -0,0 +1,121 @@
+package link
+
+import (
+	"time"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/internal/linkpb"
+)
+
+func positionToWire(p egret.Position) *linkpb.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &linkpb.Position{
+		Term:   p.Term,
+		Offset: p.Offset,
+	}
+}
+
+func positionFromWire(p *linkpb.Position) egret.Position {
+	return egret.Position{
+		Term:   p.GetTerm(),
+		Offset: p.GetOffset(),
+	}
+}
+
+func workToWire(w *egret.Work) *linkpb.Work {
+	m := &linkpb.Work{
+		Service:        w.Service,
+		Route:          w.Route,
+		Id:             w.Query.ID,
+		Verb:           int32(w.Query.Verb),
+		Text:           w.Query.Text,
+		Name:           w.Query.Name,
+		Argument:       w.Query.Argument,
+		Writes:         w.Writes,
+		Shape:          w.Prepared.Shape,
+		ShapeWrites:    w.Prepared.Writes,
+		Begin:          int32(w.Begin),
+		InTransaction:  w.InTransaction,
+		Kind:           int32(w.Kind),
+		MaxStalenessNs: int64(w.MaxStaleness),
+		Own:            positionToWire(w.Own),
+		OwnTerm:        w.OwnTerm,
+		TimeoutNs:      int64(w.Timeout),
+		TargetNs:       int64(w.Target),
+		Priority:       int32(w.Priority),
+		IdleNs:         int64(w.Idle),
+	}
+	for _, v := range w.Values {
+		m.Values = append(m.Values, &linkpb.Value{
+			Name:  v.Name,
+			Value: v.Value,
+		})
+	}
+	return m
+}
+
+func workFromWire(m *linkpb.Work) egret.Work {
+	w := egret.Work{
+		Service: m.GetService(),
+		Route:   m.GetRoute(),
+		Query: egret.Query{
+			ID:       m.GetId(),
+			Verb:     egret.Verb(m.GetVerb()),
+			Text:     m.GetText(),
+			Name:     m.GetName(),
+			Argument: m.GetArgument(),
+		},
+		Writes: m.GetWrites(),
+		Prepared: egret.Prepared{
+			Shape:  m.GetShape(),
+			Writes: m.GetShapeWrites(),
+		},
+		Begin:         egret.Verb(m.GetBegin()),
+		InTransaction: m.GetInTransaction(),
+		Kind:          egret.RouteKind(m.GetKind()),
+		MaxStaleness:  time.Duration(m.GetMaxStalenessNs()),
+		Own:           positionFromWire(m.GetOwn()),
+		OwnTerm:       m.GetOwnTerm(),
+		Timeout:       time.Duration(m.GetTimeoutNs()),
+		Target:        time.Duration(m.GetTargetNs()),
+		Priority:      int(m.GetPriority()),
+		Idle:          time.Duration(m.GetIdleNs()),
+	}
+	for _, v := range m.GetValues() {
+		w.Values = append(w.Values, egret.SessionValue{
+			Name:  v.GetName(),
+			Value: v.GetValue(),
+		})
+	}
+	return w
+}
+
+func answerToWire(a *egret.Answer) *linkpb.Answer {
+	return &linkpb.Answer{
+		Rows:      a.Rows,
+		Signature: a.Signature,
+		Fault:     int32(a.Fault.Kind),
+		FaultText: a.Fault.Text,
+		Status:    int32(a.Status),
+		Position:  positionToWire(a.Position),
+		Term:      a.Term,
+		Member:    a.Member,
+	}
+}
+
+func answerFromWire(m *linkpb.Answer) egret.Answer {
+	return egret.Answer{
+		Rows:      m.GetRows(),
+		Signature: m.GetSignature(),
+		Fault: egret.Fault{
+			Kind: egret.FaultKind(m.GetFault()),
+			Text: m.GetFaultText(),
+		},
+		Status:   egret.TxStatus(m.GetStatus()),
+		Position: positionFromWire(m.GetPosition()),
+		Term:     m.GetTerm(),
+		Member:   m.GetMember(),
+	}
+}
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,140 @@
+package link
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/internal/linkpb"
+)
+
+// Host is the process that a Server answers for.
+type Host interface {
+	// Incarnation is unique for each run of the process.
+	Incarnation() string
+
+	// Node names the process.
+	Node() string
+
+	// Leaving reports whether the process shuts down.
+	Leaving() bool
+
+	// Stream returns a stream for statements from another proxy. passOn allows it to pass them on to
+	// the holder of the service.
+	Stream(passOn bool) egret.Stream
+
+	// Promise keeps the process from taking the service over for a time.
+	Promise(service string, revision uint64, d time.Duration) bool
+
+	// Raise takes a commit of a predecessor. last says that it was the predecessor's last.
+	Raise(service string, term uint64, p egret.Position, last bool) bool
+
+	// Hear asks the proxy at the address for its incarnation.
+	Hear(ctx context.Context, a netip.AddrPort) (string, error)
+
+	// Reach reports whether the process can connect to the member.
+	Reach(ctx context.Context, member string) bool
+
+	// TablesAbove returns the newest configuration if its version is higher.
+	TablesAbove(version uint64) (uint64, []byte)
+}
+
+// Server answers other proxies.
+type Server struct {
+	linkpb.UnimplementedLinkServer
+
+	// Host is the process.
+	Host Host
+}
+
+// NewGRPC returns a gRPC server that answers for the host.
+func (s *Server) NewGRPC() *grpc.Server {
+	g := grpc.NewServer(
+		grpc.InitialWindowSize(window),
+		grpc.InitialConnWindowSize(window),
+		grpc.MaxRecvMsgSize(maxMessage),
+	)
+	linkpb.RegisterLinkServer(g, s)
+	return g
+}
+
+// Run runs the statements of one session.
+func (s *Server) Run(g grpc.BidiStreamingServer[linkpb.Work, linkpb.Answer]) error {
+	var stream egret.Stream
+	defer func() {
+		if stream != nil {
+			stream.Close()
+		}
+	}()
+	for {
+		m, err := g.Recv()
+		if err != nil {
+			// The sender has ended the session, or was lost.
+			return nil
+		}
+		if stream == nil {
+			stream = s.Host.Stream(m.GetPassOn())
+		}
+		a := stream.Do(g.Context(), workFromWire(m))
+		if err := g.Send(answerToWire(&a)); err != nil {
+			return err
+		}
+	}
+}
+
+// Ping tells which process answers.
+func (s *Server) Ping(context.Context, *linkpb.PingRequest) (*linkpb.PingReply, error) {
+	return &linkpb.PingReply{
+		Node:        s.Host.Node(),
+		Incarnation: s.Host.Incarnation(),
+		Leaving:     s.Host.Leaving(),
+	}, nil
+}
+
+// Promise keeps the process from taking a service over.
+func (s *Server) Promise(_ context.Context, r *linkpb.PromiseRequest) (*linkpb.PromiseReply, error) {
+	return &linkpb.PromiseReply{
+		Granted: s.Host.Promise(r.GetService(), r.GetRevision(), time.Duration(r.GetDurationNs())),
+	}, nil
+}
+
+// Raise takes a commit of a predecessor.
+func (s *Server) Raise(_ context.Context, r *linkpb.RaiseRequest) (*linkpb.RaiseReply, error) {
+	return &linkpb.RaiseReply{
+		Accepted: s.Host.Raise(r.GetService(), r.GetTerm(), positionFromWire(r.GetPosition()), r.GetLast()),
+	}, nil
+}
+
+// Hear asks another proxy for its incarnation.
+func (s *Server) Hear(ctx context.Context, r *linkpb.HearRequest) (*linkpb.HearReply, error) {
+	a, err := netip.ParseAddrPort(r.GetAddress())
+	if err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "address %q: %v", r.GetAddress(), err)
+	}
+	incarnation, err := s.Host.Hear(ctx, a)
+	return &linkpb.HearReply{
+		Heard:       err == nil,
+		Incarnation: incarnation,
+	}, nil
+}
+
+// Reach says whether the process can connect to a member.
+func (s *Server) Reach(ctx context.Context, r *linkpb.ReachRequest) (*linkpb.ReachReply, error) {
+	return &linkpb.ReachReply{
+		Reached: s.Host.Reach(ctx, r.GetMember()),
+	}, nil
+}
+
+// Tables returns the newest configuration.
+func (s *Server) Tables(_ context.Context, r *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
+	version, data := s.Host.TablesAbove(r.GetAbove())
+	return &linkpb.TablesReply{
+		Version: version,
+		Data:    data,
+	}, nil
+}
--- a/table.go
+++ b/table.go
@@ -35,6 +35,10 @@
 
 	// Edits is the recent history, newest first.
 	Edits []Edit
+
+	// TransactionIdle is how long a transaction may rest between statements before it is rolled
+	// back. Zero leaves it to the proxy's settings.
+	TransactionIdle time.Duration
 }
 
 // Pool returns the pool with the name, or nil.
@@ -47,6 +51,16 @@
 	return nil
 }
 
+// RouteOf returns the first route with the database, or nil.
+func (t *Tables) RouteOf(database string) *Route {
+	for i := range t.Routes {
+		if t.Routes[i].Database == database {
+			return &t.Routes[i]
+		}
+	}
+	return nil
+}
+
 // Route says which requests go to which pool, and what they are owed.
 type Route struct {
 	// Name is unique among routes.
@@ -82,6 +96,16 @@
 	// ConfirmWait bounds the wait for a second member to confirm a write. Beyond it the outcome
 	// is unknown.
 	ConfirmWait time.Duration
+
+	// Kind says how fresh reads are on the routes of service groups. MaxAge bounds RouteBounded and
+	// RouteSession.
+	Kind RouteKind
+
+	// Target is the latency objective of a whole operation. Budget bounds a single statement there.
+	Target time.Duration
+
+	// Priority orders the routes of service groups in the queue; 0 is the highest.
+	Priority int
 }
 
 // Pool says which backend servers serve and how much each may take.
@@ -113,6 +137,9 @@
 
 	// Groups are the database groups of the pool. Names are unique among all pools.
 	Groups []Group
+
+	// SyncReplicas is how many replicas have a commit before the primary acknowledges it.
+	SyncReplicas int
 }
 
 // Weight is a caller's share of a lane.
