front: a session that is being ended takes no further statement

Cause: Drain closed a session that rested while its next statement had just been read; the statement went to a member and its answer to a closed connection (LOST at SIGTERM + 2.2 s). Ruled out: the process's end (it waits for sessions), the lane. The phase of a session now changes by compare-and-swap; TestDrainDoesNotForwardAfterClose failed before.

--- /dev/null
+++ b/front/drain_test.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"egretlane.example/egret"
+)
+
+// TestDrainDoesNotForwardAfterClose lets a statement arrive at the moment at which Drain closes the
+// resting session. It must not go to a member, as its caller gets no answer any more.
+func TestDrainDoesNotForwardAfterClose(t *testing.T) {
+	stream := &fakeStream{
+		do: func(egret.Work) egret.Answer { return egret.Answer{Signature: "s"} },
+	}
+	s := serverOf(stream)
+	c := newFakeConn("orders")
+	once := sync.Once{}
+	c.closing = func() {
+		once.Do(func() {
+			c.queries <- egret.Query{
+				ID:   "1",
+				Verb: egret.VerbRead,
+				Text: "READ a",
+			}
+			close(c.queries)
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serve(context.Background(), c)
+	}()
+	<-c.waiting
+	s.Drain()
+	<-ended
+	if works := stream.seen(); len(works) != 0 {
+		t.Errorf("%d statements went to a member after the session was closed", len(works))
+	}
+}
+
+// TestDrainLetsTransactionsEnd ends a session only after its transaction.
+func TestDrainLetsTransactionsEnd(t *testing.T) {
+	stream := &fakeStream{
+		do: func(egret.Work) egret.Answer { return egret.Answer{Signature: "s", Status: egret.TxOpen} },
+	}
+	s := serverOf(stream)
+	c := newFakeConn("orders")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serve(context.Background(), c)
+	}()
+	statements := []egret.Query{
+		{ID: "1", Verb: egret.VerbBegin, Text: "BEGIN"},
+		{ID: "2", Verb: egret.VerbWrite, Text: "WRITE a b"},
+		{ID: "3", Verb: egret.VerbCommit, Text: "COMMIT"},
+	}
+	for i, q := range statements {
+		c.queries <- q
+		if a := <-c.answers; a.Fault.Kind != egret.FaultNone {
+			t.Fatalf("%s: %v", q.Text, a.Fault)
+		}
+		if i == 0 {
+			s.Drain()
+		}
+	}
+	<-ended
+}
--- /dev/null
+++ b/front/fake_test.go
@@ -0,0 +1,113 @@
+package front
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+// fakeConn is a caller's connection whose statements come from a channel.
+type fakeConn struct {
+	database string
+	queries  chan egret.Query
+	answers  chan egret.Answer
+	refusals chan egret.Fault
+
+	// waiting is closed when Next waits for the first time.
+	waiting chan struct{}
+
+	// closing is called by Close.
+	closing func()
+
+	once sync.Once
+}
+
+func newFakeConn(database string) *fakeConn {
+	return &fakeConn{
+		database: database,
+		queries:  make(chan egret.Query),
+		answers:  make(chan egret.Answer, 16),
+		refusals: make(chan egret.Fault, 1),
+		waiting:  make(chan struct{}),
+	}
+}
+
+func (c *fakeConn) Start(time.Time) (string, error) { return c.database, nil }
+
+func (c *fakeConn) Admit() error { return nil }
+
+func (c *fakeConn) Refuse(f egret.Fault) error {
+	c.refusals <- f
+	return nil
+}
+
+func (c *fakeConn) Next() (egret.Query, error) {
+	c.once.Do(func() { close(c.waiting) })
+	q, open := <-c.queries
+	if !open {
+		return egret.Query{}, io.EOF
+	}
+	return q, nil
+}
+
+func (c *fakeConn) Answer(a egret.Answer) error {
+	c.answers <- a
+	return nil
+}
+
+func (c *fakeConn) Close() {
+	if c.closing != nil {
+		c.closing()
+	}
+}
+
+// fakeStream answers what do returns, and counts statements.
+type fakeStream struct {
+	do func(w egret.Work) egret.Answer
+
+	mu     sync.Mutex
+	works  []egret.Work
+	closed bool
+}
+
+func (s *fakeStream) Do(_ context.Context, w egret.Work) egret.Answer {
+	s.mu.Lock()
+	s.works = append(s.works, w)
+	s.mu.Unlock()
+	return s.do(w)
+}
+
+func (s *fakeStream) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+func (s *fakeStream) seen() []egret.Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]egret.Work(nil), s.works...)
+}
+
+func tables() *egret.Tables {
+	return &egret.Tables{
+		Revision: 1,
+		Routes: []egret.Route{{
+			Name:     "orders",
+			Database: "orders",
+			Pool:     "catalogo-db",
+			Kind:     egret.RouteSession,
+			Budget:   time.Second,
+		}},
+	}
+}
+
+func serverOf(s *fakeStream) *Server {
+	return &Server{
+		Tables: tables,
+		Open:   func() egret.Stream { return s },
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -91,7 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for e := range s.sessions {
-		if e.resting.Load() {
+		if e.phase.CompareAndSwap(phaseResting, phaseEnded) {
 			e.conn.Close()
 		}
 	}
--- a/front/session.go
+++ b/front/session.go
@@ -26,7 +26,7 @@
 	sampleRate = 64
 )
 
-// session is one caller's session. One goroutine uses it, but for resting.
+// session is one caller's session. One goroutine uses it, but for phase.
 type session struct {
 	server   *Server
 	conn     egret.CallerConn
@@ -57,24 +57,41 @@
 	// count counts statements, for samples.
 	count int
 
-	// resting says that the session waits for its caller outside of a transaction.
-	resting atomic.Bool
+	// phase says who may end the session. It changes by compare-and-swap, so that a statement that
+	// arrives while the session is being ended is either served whole or never sent to a member.
+	phase atomic.Int32
 }
 
+// The phases of a session.
+const (
+	// phaseBusy: a statement or a transaction is under way. Only the session's goroutine ends it.
+	phaseBusy int32 = iota
+
+	// phaseResting: the session waits for its caller outside of a transaction.
+	phaseResting
+
+	// phaseEnded: the connection was closed while the session rested.
+	phaseEnded
+)
+
 // run serves statements until the caller or the proxy ends the session.
 func (e *session) run(ctx context.Context) {
 	e.status = egret.TxIdle
 	for ctx.Err() == nil {
-		e.resting.Store(e.status == egret.TxIdle)
-		if e.resting.Load() && e.server.draining.Load() {
-			return
+		if e.status == egret.TxIdle {
+			e.phase.Store(phaseResting)
+			if e.server.draining.Load() {
+				return
+			}
 		}
 		q, err := e.conn.Next()
-		e.resting.Store(false)
 		if err != nil {
 			e.gone(err)
 			return
 		}
+		if e.status == egret.TxIdle && !e.phase.CompareAndSwap(phaseResting, phaseBusy) {
+			return
+		}
 		a := e.handle(ctx, &q)
 		if err := e.conn.Answer(a); err != nil {
 			return
