--- /dev/null
+++ b/group/floor_test.go
@@ -0,0 +1,50 @@
+package group
+
+import (
+	"context"
+	"testing"
+
+	"egretlane.example/egret"
+)
+
+// TestReadThatWaitedForThePrimaryHasAFloor queues a read before the lane knows its primary. The floor
+// that it is sent with has to be the one that is known by then.
+func TestReadThatWaitedForThePrimaryHasAFloor(t *testing.T) {
+	s := newFakeService()
+	s.member("b", func(m *fakeMember) { m.position.Offset = 3 })
+	s.member("c", func(m *fakeMember) { m.position.Offset = 3 })
+	l, _ := startLane(t, s)
+	answers := make(chan egret.Answer)
+	for range 8 {
+		go func() { answers <- l.Stream().Do(context.Background(), read("1")) }()
+	}
+	eventually(t, "waiting reads", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.queue.Len() == 8
+	})
+	l.Update(s.backends())
+	for range 8 {
+		if a := <-answers; a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+			t.Errorf("answer %+v, want one of the primary, as the replicas lag", a)
+		}
+	}
+}
+
+// TestReadsSeeAcknowledgedCommits freezes the replicas and reads what was just written.
+func TestReadsSeeAcknowledgedCommits(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	s.member("b", func(m *fakeMember) { m.frozen = true })
+	s.member("c", func(m *fakeMember) { m.frozen = true })
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone {
+		t.Fatalf("write: %+v", a)
+	}
+	for range 10 {
+		if a := l.Stream().Do(context.Background(), read("1")); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+			t.Errorf("answer %+v, want one of the primary", a)
+		}
+	}
+}
--- a/group/stream.go
+++ b/group/stream.go
@@ -143,6 +143,21 @@
 	it.Floor = l.floorOf(w, it.Arrived)
 }
 
+// sendFloor returns the position that the member has to check before it runs the statement. It is
+// taken anew, as the statement may have waited since before the history was known.
+func (l *Lane) sendFloor(m *member, it *sched.Item, w *egret.Work) egret.Position {
+	if it.Need != sched.NeedAny {
+		return egret.Position{}
+	}
+	l.renewFloor(it, w)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m.view.Primary {
+		return egret.Position{}
+	}
+	return it.Floor
+}
+
 // need says which members may run a statement that doesn't continue a transaction.
 func need(w *egret.Work) sched.Need {
 	if w.Writes || w.Begin == egret.VerbBegin {
@@ -231,13 +246,10 @@
 // run sends a single statement. It returns true if the statement may be tried again.
 func (l *Lane) run(c *conn, it *sched.Item, w *egret.Work, try int) (egret.Answer, bool) {
 	m := c.member
-	floor := egret.Position{}
+	floor := l.sendFloor(m, it, w)
 	l.mu.Lock()
-	slowness, isPrimary := m.view.Slowness, m.view.Primary
+	slowness := m.view.Slowness
 	l.mu.Unlock()
-	if it.Need == sched.NeedAny && !isPrimary {
-		floor = it.Floor
-	}
 	deadline := it.Deadline
 	if it.Need == sched.NeedAny && try < maxTries-1 {
 		patience := time.Duration(float64(it.Cost)*slowness)*trySlowness + m.view.Distance
--- a/group/transact.go
+++ b/group/transact.go
@@ -43,17 +43,12 @@
 // transaction if the member refused to open one.
 func (l *Lane) openTransaction(c *conn, it *sched.Item, w *egret.Work) (egret.Answer, bool) {
 	m := c.member
-	l.mu.Lock()
-	isPrimary := m.view.Primary
-	l.mu.Unlock()
 	begin := egret.Command{
 		Kind: egret.CommandBegin,
 	}
 	if w.Begin == egret.VerbBeginRead {
 		begin.Kind = egret.CommandBeginRead
-		if !isPrimary {
-			begin.Floor = it.Floor
-		}
+		begin.Floor = l.sendFloor(m, it, w)
 	}
 	sent := clock.Now()
 	commands := append(c.setup(w, false), begin)
