claim, fleet: a holder keeps its service by the others' promises while the store is away

A holder without an answer asks everybody who might take over to refrain; newcomers may not take over before every holder knows them. A primary that changes meanwhile is told to all.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -43,6 +43,10 @@
 	// rankStep is the head start that a better placed process has before the next.
 	rankStep = 150 * time.Millisecond
 
+	// promiseTime is for how long the others promise not to take a service over, if the store gives
+	// no answer to its holder.
+	promiseTime = 1200 * time.Millisecond
+
 	// releaseTimeout bounds the release of a service.
 	releaseTimeout = time.Second
 )
@@ -65,8 +69,23 @@
 	// live process hears it.
 	Silent(r Record) time.Duration
 
-	// Stopped reports whether the process is known to have ended or to have left the service.
-	Stopped(ctx context.Context, r Record, revision uint64) bool
+	// Stopped reports whether the process is known to have ended.
+	Stopped(ctx context.Context, r Record) bool
+
+	// Seasoned reports whether this process has been registered for so long that every holder knows
+	// it, and asks it for its promise.
+	Seasoned() bool
+
+	// Promise asks every process that may take the service over not to do so for a time, and to
+	// remember the primary, if one is given. It reports whether all have promised.
+	Promise(ctx context.Context, service string, revision uint64, d time.Duration, primary string) bool
+}
+
+// intent is a primary that a holder told to the others.
+type intent struct {
+	// revision is that of the holder's record.
+	revision uint64
+	primary  string
 }
 
 // Claim is one process's part in the holding of one service. It implements egret.Holding.
@@ -117,6 +136,12 @@
 	// refrain is until when this process has promised not to take over.
 	refrain clock.Time
 
+	// intent is the primary that the holder at a revision has told, as it could not tell the store.
+	intent intent
+
+	// unwritten is the primary that this holder has told to the others only.
+	unwritten string
+
 	// unsettled is the revision on which a write without an answer depends, plus one, or zero. It
 	// may still be carried out.
 	unsettled uint64
@@ -134,7 +159,7 @@
 func (c *Claim) Run(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	renewed := clock.Time(0)
+	renewed, failing := clock.Time(0), false
 	for {
 		select {
 		case <-ctx.Done():
@@ -152,7 +177,12 @@
 		case c.waiting(ctx):
 		case clock.Since(renewed) >= renewInterval || !c.Valid():
 			renewed = clock.Now()
-			c.renew(ctx)
+			if failing {
+				c.extend(ctx)
+			}
+			if failing = !c.renew(ctx); failing {
+				c.extend(ctx)
+			}
 		}
 	}
 }
@@ -190,6 +220,9 @@
 func (c *Claim) Primary() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.unwritten != "" {
+		return c.unwritten
+	}
 	return c.seen.Record.Primary
 }
 
@@ -259,6 +292,7 @@
 	c.Trail.Event("service-lost").Str("service", c.Service).Str("cause", cause).Uint64("revision", c.mine).Msg("this process no longer holds the service")
 	c.mine = 0
 	c.validUntil = 0
+	c.unwritten = ""
 	if c.lost != nil {
 		go c.lost()
 		c.lost = nil
@@ -281,14 +315,21 @@
 }
 
 // Promise keeps this process from taking the service over for a time, if the record is still the
-// one with the revision and no write of its own may be on its way.
-func (c *Claim) Promise(revision uint64, d time.Duration) bool {
+// one with the revision and no write of its own may be on its way. It remembers the primary, if one
+// is given.
+func (c *Claim) Promise(revision uint64, d time.Duration, primary string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unsettled != 0 || c.mine != 0 || c.known && c.seen.Revision > revision {
 		return false
 	}
 	c.refrain = max(c.refrain, clock.Now().Add(d))
+	if primary != "" {
+		c.intent = intent{
+			revision: revision,
+			primary:  primary,
+		}
+	}
 	return true
 }
 
@@ -341,10 +382,14 @@
 		if c.Primary() == member && c.Valid() {
 			return nil
 		}
-		return errors.Annotatef(err, "primary of %s", c.Service)
+		if errors.Is(err, egret.ErrConflict) || !c.tell(member, revision) {
+			return errors.Annotatef(err, "primary of %s", c.Service)
+		}
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unwritten = ""
 	if c.mine == revision {
 		c.mine = written
 		c.seen = Seen{
@@ -355,14 +400,36 @@
 	return nil
 }
 
+// tell makes the primary known to all who may succeed this process, in place of the store.
+func (c *Claim) tell(member string, revision uint64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	told := c.Peers.Promise(ctx, c.Service, revision, promiseTime, member)
+	c.Trail.Event("primary-told").Str("service", c.Service).Str("member", member).Bool("to-all", told).Msg("the store can't be told of the primary")
+	if !told {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unwritten = member
+	return c.mine == revision
+}
+
 // record returns the record that names this process. The caller holds mu.
 func (c *Claim) record() Record {
-	return Record{
+	r := Record{
 		Node:        c.Self.Node,
 		Incarnation: c.Self.Incarnation,
 		Address:     c.Self.Address,
 		Primary:     c.seen.Record.Primary,
 	}
+	if c.mine == 0 && c.intent.revision != 0 && c.intent.revision == c.seen.Revision {
+		r.Primary = c.intent.primary
+	}
+	if c.unwritten != "" {
+		r.Primary = c.unwritten
+	}
+	return r
 }
 
 func (c *Claim) key() string {
--- a/claim/take.go
+++ b/claim/take.go
@@ -69,7 +69,7 @@
 			stopped: r.Incarnation != c.Self.Incarnation,
 			first:   true,
 		}
-	case refrains:
+	case refrains || !c.Peers.Seasoned():
 		return cause{}
 	case seen.Revision == 0:
 		return cause{
@@ -166,7 +166,7 @@
 	if left <= 0 {
 		return false
 	}
-	if !c.Peers.Stopped(ctx, former.Record, former.Revision) {
+	if !c.Peers.Stopped(ctx, former.Record) {
 		return true
 	}
 	c.Trail.Event("former-stopped").Str("service", c.Service).Str("former", former.Record.Node).Dur("spared", left).Msg("the former holder has stopped")
@@ -176,21 +176,29 @@
 	return false
 }
 
-// renew reads the key and extends the right if it is unchanged.
-func (c *Claim) renew(ctx context.Context) {
+// renew reads the key and extends the right if it is unchanged. It returns false if the store gave
+// no answer.
+func (c *Claim) renew(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := clock.Now()
 	item, err := c.Keys.Read(ctx, c.key())
 	if err != nil {
 		c.Trail.Event("renewal-failed").Str("service", c.Service).Dur("left", c.Left()).Err(err).Msg("the holding was not renewed")
-		return
+		return false
 	}
 	s, err := decode(item)
 	if err != nil || s.Revision == 0 {
 		c.restore(ctx)
-		return
+		return true
 	}
+	c.confirm(s, sent)
+	c.writePrimary(ctx)
+	return true
+}
+
+// confirm takes a record that was read in a call sent at the time.
+func (c *Claim) confirm(s Seen, sent clock.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Revision > c.seen.Revision {
@@ -207,6 +215,41 @@
 	}
 }
 
+// extend keeps the right in force by the promises of all who may take the service over, while the
+// store gives no answer. A right that has lapsed is not revived: what the others saw meanwhile isn't
+// known.
+func (c *Claim) extend(ctx context.Context) {
+	c.mu.Lock()
+	revision, valid, primary := c.mine, clock.Now() < c.validUntil, c.unwritten
+	c.mu.Unlock()
+	if revision == 0 || !valid {
+		return
+	}
+	sent := clock.Now()
+	promised := c.Peers.Promise(ctx, c.Service, revision, promiseTime, primary)
+	c.Trail.Event("promises-asked").Str("service", c.Service).Uint64("revision", revision).Bool("all", promised).Dur("left", c.Left()).Msg("asked the others not to take the service over")
+	if !promised {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mine == revision {
+		c.validUntil = max(c.validUntil, sent.Add(promiseTime))
+	}
+}
+
+// writePrimary writes the primary that was told to the others only.
+func (c *Claim) writePrimary(ctx context.Context) {
+	c.mu.Lock()
+	member := c.unwritten
+	c.mu.Unlock()
+	if member == "" {
+		return
+	}
+	err := c.SetPrimary(ctx, member)
+	c.Trail.Event("primary-written").Str("service", c.Service).Str("member", member).Err(err).Msg("the store was told of the primary")
+}
+
 // restore writes a key that the store has dropped. While the right is in force, no successor has
 // begun: it waits out the right, and then reads the key, which names this process again.
 func (c *Claim) restore(ctx context.Context) {
--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -8,8 +8,7 @@
 	"egretlane.example/egret"
 )
 
-// Incarnation, Node, Leaving, Stream, Promise and Hear are the fleet's; with the methods below the node
-// answers other proxies.
+// With the methods below the node answers other proxies.
 
 // Incarnation is unique for each run of the process.
 func (n *node) Incarnation() string { return n.fleet.Incarnation() }
@@ -24,8 +23,8 @@
 func (n *node) Stream(passOn bool) egret.Stream { return n.fleet.Stream(passOn) }
 
 // Promise keeps the process from taking the service over for a time.
-func (n *node) Promise(service string, revision uint64, d time.Duration) bool {
-	return n.fleet.Promise(service, revision, d)
+func (n *node) Promise(service string, revision uint64, d time.Duration, primary string) bool {
+	return n.fleet.Grant(service, revision, d, primary)
 }
 
 // Hear asks the proxy at the address for its incarnation.
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -82,10 +82,11 @@
 			Domain:      s.Domain,
 			Region:      s.Region,
 		},
-		Pool:  n.pool,
-		Hold:  n.hold,
-		Home:  n.home,
-		Trail: t,
+		Pool:      n.pool,
+		Bootstrap: s.Bootstrap,
+		Hold:      n.hold,
+		Home:      n.home,
+		Trail:     t,
 	}
 	n.fleet.Init()
 	n.directory.configured = n.configured
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,9 @@
 	// Domain and Region are the node's failure domain and its region.
 	Domain string `json:"domain"`
 	Region string `json:"region"`
+
+	// Seasoned says that the node has been registered for so long that every holder knows it.
+	Seasoned bool `json:"seasoned"`
 }
 
 // Fleet knows the proxies and the holders of services. Its exported fields are set before Run.
@@ -67,6 +70,9 @@
 	// Hold starts the lane of a service that this process now holds.
 	Hold func(c *claim.Claim) *group.Lane
 
+	// Bootstrap says that the whole fleet starts for the first time.
+	Bootstrap bool
+
 	// Home returns the failure domain and the region of a service's primary, or "".
 	Home func(service string) (domain, region string)
 
@@ -94,6 +100,12 @@
 	asking map[netip.AddrPort]bool
 
 	leaving bool
+
+	// season says for how long this process has been registered, countedAt when the list was sent
+	// that shows all processes, and gone are those whose registration has vanished since.
+	season    season
+	countedAt clock.Time
+	gone      map[string]vanished
 }
 
 // detour is a proxy that hears another one.
@@ -111,6 +123,8 @@
 	f.records = map[string]egret.Item{}
 	f.via = map[netip.AddrPort]detour{}
 	f.asking = map[netip.AddrPort]bool{}
+	f.gone = map[string]vanished{}
+	f.season.inherited = f.Bootstrap
 }
 
 // Run registers the process and follows the fleet until the context ends.
@@ -132,6 +146,7 @@
 	g.Go(func() error { return w.Run(ctx) })
 	g.Go(func() error { return f.register(ctx) })
 	g.Go(func() error { return f.listen(ctx) })
+	g.Go(func() error { return f.census(ctx) })
 	return g.Wait()
 }
 
@@ -229,6 +244,12 @@
 // reset takes all keys of the fleet.
 func (f *Fleet) reset(items []egret.Item) {
 	f.mu.Lock()
+	for id, n := range f.nodes {
+		f.gone[id] = vanished{
+			node: n,
+			at:   clock.Now(),
+		}
+	}
 	clear(f.nodes)
 	clear(f.records)
 	f.listed = true
@@ -276,7 +297,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.nodes[id] == n {
+		return
+	}
 	if item.Removed {
+		f.gone[id] = vanished{
+			node: f.nodes[id],
+			at:   clock.Now(),
+		}
 		delete(f.nodes, id)
 	} else {
 		f.nodes[id] = n
@@ -286,20 +314,25 @@
 
 // register keeps this process registered.
 func (f *Fleet) register(ctx context.Context) error {
-	data, err := json.Marshal(f.Self)
-	if err != nil {
-		return err
-	}
-	lease := egret.LeaseID(0)
+	lease, told := egret.LeaseID(0), false
 	for ctx.Err() == nil {
 		pause := renewInterval
+		sent := clock.Now()
+		err := error(nil)
 		if lease != 0 {
 			err = f.Keys.Renew(ctx, lease)
 		}
-		if lease == 0 || errors.Is(err, egret.ErrLeaseLapsed) || !f.registered() {
-			lease, err = f.announce(ctx, data)
+		// The registration is written again when it has vanished, and once when it is seasoned.
+		seasoned := f.Seasoned()
+		if lease == 0 || errors.Is(err, egret.ErrLeaseLapsed) || !f.registered() || seasoned && !told {
+			lease, err = f.announce(ctx, lease, seasoned)
+			told = err == nil && seasoned
 		}
-		if err != nil {
+		if err == nil {
+			f.mu.Lock()
+			f.season.confirm(sent)
+			f.mu.Unlock()
+		} else {
 			pause = retryInterval
 		}
 		select {
@@ -324,25 +357,46 @@
 	return found && n.Incarnation == f.Self.Incarnation
 }
 
-// announce writes the registration under a new lease.
-func (f *Fleet) announce(ctx context.Context, data []byte) (egret.LeaseID, error) {
-	lease, err := f.Keys.Grant(ctx, nodeTTL)
+// announce writes the registration, under the lease or a new one.
+func (f *Fleet) announce(ctx context.Context, lease egret.LeaseID, seasoned bool) (egret.LeaseID, error) {
+	key := nodesPrefix + f.Self.ID
+	item, err := f.Keys.Read(ctx, key)
 	if err != nil {
 		return 0, err
 	}
-	key := nodesPrefix + f.Self.ID
-	item, err := f.Keys.Read(ctx, key)
+	f.inherit(item)
+	self := f.Self
+	self.Seasoned = seasoned
+	data, err := json.Marshal(self)
 	if err != nil {
 		return 0, err
 	}
+	if lease == 0 || item.Revision == 0 {
+		if lease, err = f.Keys.Grant(ctx, nodeTTL); err != nil {
+			return 0, err
+		}
+	}
 	_, err = f.Keys.Swap(ctx, key, item.Revision, data, lease)
-	f.Trail.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(lease)).Err(err).Msg("this process registered itself")
+	f.Trail.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(lease)).Bool("seasoned", seasoned).Err(err).Msg("this process registered itself")
 	if err != nil {
 		return 0, err
 	}
 	return lease, nil
 }
 
+// inherit takes over from a former process at the same address that every holder knew.
+func (f *Fleet) inherit(item egret.Item) {
+	former := Node{}
+	if item.Revision == 0 || json.Unmarshal(item.Data, &former) != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.season.since == 0 && former.Seasoned && former.Address == f.Self.Address {
+		f.season.inherited = true
+	}
+}
+
 // Leave keeps this process from taking services.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -381,8 +435,8 @@
 	return f.leaving
 }
 
-// Promise keeps the process from taking the service over for a time.
-func (f *Fleet) Promise(service string, revision uint64, d time.Duration) bool {
+// Grant keeps this process from taking the service over for a time.
+func (f *Fleet) Grant(service string, revision uint64, d time.Duration, primary string) bool {
 	c := f.Claim(service)
-	return c != nil && c.Promise(revision, d)
+	return c != nil && c.Promise(revision, d, primary)
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -93,7 +93,7 @@
 }
 
 // Stopped reports whether another process answers at the address of the one in the record.
-func (f *Fleet) Stopped(ctx context.Context, r claim.Record, _ uint64) bool {
+func (f *Fleet) Stopped(ctx context.Context, r claim.Record) bool {
 	if !r.Address.IsValid() {
 		return false
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -18,6 +18,11 @@
 	// startTimeout bounds the opening of a session by a caller.
 	startTimeout = 5 * time.Second
 
+	// configurationTime is how long a caller waits for the proxy's first configuration, and
+	// configurationPoll how often it is looked for.
+	configurationTime = 1500 * time.Millisecond
+	configurationPoll = 20 * time.Millisecond
+
 	// defaultTimeout bounds a statement whose route sets no time.
 	defaultTimeout = 5 * time.Second
 
@@ -127,6 +132,10 @@
 		s.refuse(c, egret.FaultMalformed, "the session could not be opened: "+err.Error())
 		return
 	}
+	if !s.configured(ctx) {
+		s.refuse(c, egret.FaultBusy, "the proxy has no configuration yet")
+		return
+	}
 	if s.route(database) == nil {
 		s.refuse(c, egret.FaultNoDatabase, "no route has database "+database)
 		return
@@ -150,6 +159,18 @@
 	e.run(ctx)
 }
 
+// configured waits for a first configuration, for as long as callers wait for their session.
+func (s *Server) configured(ctx context.Context) bool {
+	deadline := time.Now().Add(configurationTime)
+	for s.Tables() == nil {
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(configurationPoll)
+	}
+	return true
+}
+
 func (s *Server) refuse(c egret.CallerConn, kind egret.FaultKind, text string) {
 	s.Trail.Event("session-refused").Str("fault", kind.String()).Str("cause", text).Msg("the session was not opened")
 	// The caller may be gone already.
--- a/link/pool.go
+++ b/link/pool.go
@@ -193,12 +193,13 @@
 	return ask(ctx, p, a, PingTimeout, &linkpb.PingRequest{}, linkpb.LinkClient.Ping)
 }
 
-// Promise asks the proxy not to take a service over for a time.
-func (p *Pool) Promise(ctx context.Context, a netip.AddrPort, service string, revision uint64, d time.Duration) (bool, error) {
+// Promise asks the proxy not to take a service over for a time, and to remember the primary.
+func (p *Pool) Promise(ctx context.Context, a netip.AddrPort, service string, revision uint64, d time.Duration, primary string) (bool, error) {
 	r, err := ask(ctx, p, a, PingTimeout, &linkpb.PromiseRequest{
 		Service:    service,
 		Revision:   revision,
 		DurationNs: int64(d),
+		Primary:    primary,
 	}, linkpb.LinkClient.Promise)
 	return r.GetGranted(), err
 }
--- a/link/server.go
+++ b/link/server.go
@@ -28,8 +28,9 @@
 	// the holder of the service.
 	Stream(passOn bool) egret.Stream
 
-	// Promise keeps the process from taking the service over for a time.
-	Promise(service string, revision uint64, d time.Duration) bool
+	// Promise keeps the process from taking the service over for a time. primary is the member that
+	// the holder makes primary, or "".
+	Promise(service string, revision uint64, d time.Duration, primary string) bool
 
 	// Raise takes a commit of a predecessor. last says that it was the predecessor's last.
 	Raise(service string, term uint64, p egret.Position, last bool) bool
@@ -99,7 +100,7 @@
 // Promise keeps the process from taking a service over.
 func (s *Server) Promise(_ context.Context, r *linkpb.PromiseRequest) (*linkpb.PromiseReply, error) {
 	return &linkpb.PromiseReply{
-		Granted: s.Host.Promise(r.GetService(), r.GetRevision(), time.Duration(r.GetDurationNs())),
+		Granted: s.Host.Promise(r.GetService(), r.GetRevision(), time.Duration(r.GetDurationNs()), r.GetPrimary()),
 	}, nil
 }
 
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -35,6 +35,9 @@
 	// Limits are those of the VM.
 	Limits Limits `yaml:"limits"`
 
+	// Bootstrap says that the whole fleet starts for the first time.
+	Bootstrap bool `yaml:"bootstrap"`
+
 	// ShutdownGrace is the time from SIGTERM to the end of the process, at most.
 	ShutdownGrace Duration `yaml:"shutdown-grace"`
 
