claim, fleet: promises of a majority of voters that the record names

The record now names its voters; a holder needs a majority of them, and a successor a majority that bars further promises, else it waits the holding out. Rules about newcomers are gone. A holder whose right has lapsed says so, and others take over at once.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -43,9 +43,9 @@
 	// rankStep is the head start that a better placed process has before the next.
 	rankStep = 150 * time.Millisecond
 
-	// promiseTime is for how long the others promise not to take a service over, if the store gives
-	// no answer to its holder.
-	promiseTime = 1200 * time.Millisecond
+	// lapseSlack is how long a holding may have lapsed and still be renewed, after a short pause of
+	// the process or of the store.
+	lapseSlack = 300 * time.Millisecond
 
 	// releaseTimeout bounds the release of a service.
 	releaseTimeout = time.Second
@@ -69,23 +69,21 @@
 	// live process hears it.
 	Silent(r Record) time.Duration
 
+	// GaveUp reports whether the holder at the revision has said that it holds the service no longer.
+	GaveUp(revision uint64) bool
+
 	// Stopped reports whether the process is known to have ended.
 	Stopped(ctx context.Context, r Record) bool
 
-	// Seasoned reports whether this process has been registered for so long that every holder knows
-	// it, and asks it for its promise.
-	Seasoned() bool
+	// Voters returns the processes that a holder should ask for promises, ordered by node.
+	Voters() []Voter
 
-	// Promise asks every process that may take the service over not to do so for a time, and to
-	// remember the primary, if one is given. It reports whether all have promised.
-	Promise(ctx context.Context, service string, revision uint64, d time.Duration, primary string) bool
-}
+	// Promise asks a process for its promise.
+	Promise(ctx context.Context, v Voter, service string, q Promise) (bool, error)
 
-// intent is a primary that a holder told to the others.
-type intent struct {
-	// revision is that of the holder's record.
-	revision uint64
-	primary  string
+	// Clear asks a process to give the holders before the revision no promises any more. It returns
+	// how long one is still in force, and the primary that was told with it.
+	Clear(ctx context.Context, v Voter, service string, revision uint64) (time.Duration, Intent, error)
 }
 
 // Claim is one process's part in the holding of one service. It implements egret.Holding.
@@ -102,6 +100,10 @@
 	// Peers is what is known of others.
 	Peers Peers
 
+	// Fresh says that the whole fleet starts for the first time, so that a service without a record
+	// has never had a holder.
+	Fresh bool
+
 	// Held is called when this process holds the service, and the returned function when it no
 	// longer does.
 	Held func(c *Claim) (lost func())
@@ -130,22 +132,38 @@
 	// right does; it is zero until a read after usableFrom has shown the key unchanged.
 	usableFrom, validUntil clock.Time
 
+	// takenAt is when the answer to the write came that made this process the holder.
+	takenAt clock.Time
+
 	// lost ends what Held began. It is nil before.
 	lost func()
 
-	// refrain is until when this process has promised not to take over.
-	refrain clock.Time
+	// voter is this process's part in the holdings of others.
+	voter voter
 
-	// intent is the primary that the holder at a revision has told, as it could not tell the store.
-	intent intent
+	// unwritten is the primary that this holder has told to the voters only.
+	unwritten Intent
 
-	// unwritten is the primary that this holder has told to the others only.
-	unwritten string
+	// renewedAt is when the last read was sent that showed the key unchanged. Promises keep the right
+	// in force for extendLimit from then on.
+	renewedAt clock.Time
+
+	// proposed are voters that this holder is writing into its record. Until that is settled, it
+	// needs promises of both lists.
+	proposed []Voter
+
+	// awaits are those of the record that have not barred promises to former holders yet. The last is
+	// that of the former record if formerListed is set.
+	awaits       [][]Voter
+	formerListed bool
 
 	// unsettled is the revision on which a write without an answer depends, plus one, or zero. It
 	// may still be carried out.
 	unsettled uint64
 
+	// givenUp is the revision of a holding that was in force and has ended without a successor.
+	givenUp uint64
+
 	// leaving says that the process takes no services.
 	leaving bool
 }
@@ -153,6 +171,7 @@
 // Init prepares the claim. It is called once, before any other method.
 func (c *Claim) Init() {
 	c.kick = make(chan struct{}, 1)
+	c.voter.started = clock.Now()
 }
 
 // Run claims and renews until the context ends.
@@ -183,6 +202,7 @@
 			if failing = !c.renew(ctx); failing {
 				c.extend(ctx)
 			}
+			c.lapse()
 		}
 	}
 }
@@ -220,8 +240,8 @@
 func (c *Claim) Primary() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unwritten != "" {
-		return c.unwritten
+	if c.unwritten.Primary != "" {
+		return c.unwritten.Primary
 	}
 	return c.seen.Record.Primary
 }
@@ -252,7 +272,7 @@
 
 // observe takes a record that is newer than the one known. The caller holds mu.
 func (c *Claim) observe(s Seen) {
-	if c.known && s == c.seen {
+	if c.known && s.Revision == c.seen.Revision {
 		return
 	}
 	c.Trail.Event("holder-seen").Str("service", c.Service).Str("holder", s.Record.Node).Uint64("revision", s.Revision).
@@ -261,17 +281,21 @@
 	c.seen = s
 	c.known = true
 	c.changedAt = clock.Now()
+	c.proposed = nil
 	if c.unsettled != 0 && s.Revision+1 != c.unsettled {
 		c.unsettled = 0
 	}
+	if s.Revision == 0 {
+		// The store dropped the key. What the last record told still holds, as any change of it would
+		// have been seen before the removal.
+		c.seen.Record = previous.Record
+	}
 	if c.mine == 0 {
 		c.wake()
 		return
 	}
 	switch {
 	case s.Revision == 0:
-		// The store dropped the key. Its primary is kept for the next write.
-		c.seen.Record.Primary = previous.Record.Primary
 	case c.own(s.Record) && !s.Record.Released && clock.Now() < c.validUntil:
 		c.mine = s.Revision
 	case c.own(s.Record) && !s.Record.Released:
@@ -290,15 +314,36 @@
 // end gives up the service. The caller holds mu.
 func (c *Claim) end(cause string) {
 	c.Trail.Event("service-lost").Str("service", c.Service).Str("cause", cause).Uint64("revision", c.mine).Msg("this process no longer holds the service")
+	if c.validUntil != 0 {
+		c.givenUp = c.mine
+	}
 	c.mine = 0
 	c.validUntil = 0
-	c.unwritten = ""
+	c.unwritten = Intent{}
+	c.proposed = nil
 	if c.lost != nil {
 		go c.lost()
 		c.lost = nil
 	}
 }
 
+// GivenUp returns the revision of a holding that was in force and has ended, or zero.
+func (c *Claim) GivenUp() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.givenUp
+}
+
+// lapse ends a holding whose right is no longer in force, so that others may take the service. What
+// it ended can't come back: the lane is closed.
+func (c *Claim) lapse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mine != 0 && c.validUntil != 0 && clock.Since(c.validUntil) > lapseSlack {
+		c.end("the right lapsed")
+	}
+}
+
 func (c *Claim) stop(cause string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -314,25 +359,6 @@
 	}
 }
 
-// Promise keeps this process from taking the service over for a time, if the record is still the
-// one with the revision and no write of its own may be on its way. It remembers the primary, if one
-// is given.
-func (c *Claim) Promise(revision uint64, d time.Duration, primary string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.unsettled != 0 || c.mine != 0 || c.known && c.seen.Revision > revision {
-		return false
-	}
-	c.refrain = max(c.refrain, clock.Now().Add(d))
-	if primary != "" {
-		c.intent = intent{
-			revision: revision,
-			primary:  primary,
-		}
-	}
-	return true
-}
-
 // Leave keeps this process from taking the service.
 func (c *Claim) Leave() {
 	c.mu.Lock()
@@ -351,6 +377,7 @@
 		return
 	}
 	record.Released = true
+	record.Awaits = nil
 	record.Successor = successor
 	for ctx.Err() == nil {
 		_, err := c.write(ctx, revision, record)
@@ -382,14 +409,14 @@
 		if c.Primary() == member && c.Valid() {
 			return nil
 		}
-		if errors.Is(err, egret.ErrConflict) || !c.tell(member, revision) {
+		if errors.Is(err, egret.ErrConflict) || !c.tell(member) {
 			return errors.Annotatef(err, "primary of %s", c.Service)
 		}
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unwritten = ""
+	c.unwritten = Intent{}
 	if c.mine == revision {
 		c.mine = written
 		c.seen = Seen{
@@ -400,21 +427,6 @@
 	return nil
 }
 
-// tell makes the primary known to all who may succeed this process, in place of the store.
-func (c *Claim) tell(member string, revision uint64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-	defer cancel()
-	told := c.Peers.Promise(ctx, c.Service, revision, promiseTime, member)
-	c.Trail.Event("primary-told").Str("service", c.Service).Str("member", member).Bool("to-all", told).Msg("the store can't be told of the primary")
-	if !told {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unwritten = member
-	return c.mine == revision
-}
-
 // record returns the record that names this process. The caller holds mu.
 func (c *Claim) record() Record {
 	r := Record{
@@ -422,12 +434,13 @@
 		Incarnation: c.Self.Incarnation,
 		Address:     c.Self.Address,
 		Primary:     c.seen.Record.Primary,
+		Voters:      c.seen.Record.Voters,
 	}
-	if c.mine == 0 && c.intent.revision != 0 && c.intent.revision == c.seen.Revision {
-		r.Primary = c.intent.primary
+	if c.mine != 0 && c.validUntil == 0 {
+		r.Awaits = c.seen.Record.Awaits
 	}
-	if c.unwritten != "" {
-		r.Primary = c.unwritten
+	if c.unwritten.Primary != "" {
+		r.Primary = c.unwritten.Primary
 	}
 	return r
 }
--- a/claim/record.go
+++ b/claim/record.go
@@ -22,6 +22,14 @@
 	// Primary is the member that was made primary last, or "" if none ever was.
 	Primary string `json:"primary"`
 
+	// Voters are the processes that may keep the holder in force while the store gives it no answer,
+	// ordered by node.
+	Voters []Voter `json:"voters"`
+
+	// Awaits has, for each former holder whose right may still be in force, the voters of its record.
+	// The holder takes them out when it begins to use the service.
+	Awaits [][]Voter `json:"awaits"`
+
 	// Released says that the process has stopped to use the service.
 	Released bool `json:"released"`
 
@@ -29,6 +37,17 @@
 	Successor string `json:"successor"`
 }
 
+// Voter is a process that a holder asks for promises.
+type Voter struct {
+	Node    string         `json:"node"`
+	Address netip.AddrPort `json:"address"`
+}
+
+// majority is how many of the voters make a decision.
+func majority(voters []Voter) int {
+	return len(voters)/2 + 1
+}
+
 // Seen is a record as it was read.
 type Seen struct {
 	// Record is the value. It is zero if there is no key.
--- a/claim/take.go
+++ b/claim/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -48,7 +49,7 @@
 func (c *Claim) why() cause {
 	c.mu.Lock()
 	seen, known, changed := c.seen, c.known, c.changedAt
-	refrains := clock.Now() < c.refrain
+	refrains := clock.Now() < c.voter.until
 	leaving := c.leaving
 	c.mu.Unlock()
 	r := seen.Record
@@ -63,13 +64,20 @@
 			since:   changed,
 		}
 	case seen.Revision != 0 && r.Address == c.Self.Address:
-		// No two processes listen at one address, so the one in the record has ended.
+		// No two processes listen at one address, so the one in the record has ended, or it is this
+		// one, which has ended its holding.
 		return cause{
 			name:    "own former process",
-			stopped: r.Incarnation != c.Self.Incarnation,
+			stopped: true,
 			first:   true,
 		}
-	case refrains || !c.Peers.Seasoned():
+	case seen.Revision != 0 && c.Peers.GaveUp(seen.Revision):
+		return cause{
+			name:    "holder gave up",
+			stopped: true,
+			since:   changed,
+		}
+	case refrains:
 		return cause{}
 	case seen.Revision == 0:
 		return cause{
@@ -97,6 +105,12 @@
 	record := c.record()
 	c.unsettled = before.Revision + 1
 	c.mu.Unlock()
+	record.Voters = c.Peers.Voters()
+	record.Awaits = slices.Clone(before.Record.Awaits)
+	listed := !w.stopped && !(c.Fresh && before.Revision == 0 && before.Record.Node == "")
+	if listed {
+		record.Awaits = append(record.Awaits, before.Record.Voters)
+	}
 	revision, err := c.write(ctx, before.Revision, record)
 	c.Trail.Event("service-claimed").Str("service", c.Service).Str("cause", w.name).Str("former", before.Record.Node).
 		Uint64("before", before.Revision).Uint64("revision", revision).Bool("stopped", w.stopped).Err(err).Msg("this process asked for the service")
@@ -110,15 +124,17 @@
 		if errors.Is(err, egret.ErrConflict) {
 			c.settle()
 		}
-		revision = c.readBack(ctx)
-		if revision == 0 {
+		written := c.readBack(ctx)
+		if written.Revision == 0 {
 			c.pause(ctx, jitter(renewInterval))
 			return
 		}
+		revision, record, listed = written.Revision, written.Record, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unsettled = 0
+	c.givenUp = 0
 	c.seen = Seen{
 		Record:   record,
 		Revision: revision,
@@ -128,8 +144,10 @@
 	c.mine, c.token = revision, revision
 	c.former = before
 	c.validUntil = 0
+	c.awaits, c.formerListed = slices.Clone(record.Awaits), listed
+	c.takenAt = clock.Now()
 	c.usableFrom = clock.Now()
-	if !w.stopped {
+	if !w.stopped || len(c.awaits) > 0 {
 		c.usableFrom = c.usableFrom.Add(TTL + margin)
 	}
 }
@@ -140,40 +158,62 @@
 	c.unsettled = 0
 }
 
-// readBack returns the key's revision if its record is this process's, else zero.
-func (c *Claim) readBack(ctx context.Context) uint64 {
+// readBack returns the key's record if it is this process's, else none. It may be that of an earlier
+// write without an answer.
+func (c *Claim) readBack(ctx context.Context) Seen {
 	item, err := c.Keys.Read(ctx, c.key())
 	if err != nil {
-		return 0
+		return Seen{}
 	}
 	s, err := decode(item)
-	if err == nil && s.Revision != 0 && c.own(s.Record) && !s.Record.Released {
-		return s.Revision
+	if err == nil && s.Revision != 0 && c.own(s.Record) && !s.Record.Released && s.Revision > c.before() {
+		return s
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Revision == 0 || s.Revision > c.seen.Revision {
 		c.observe(s)
 	}
-	return 0
+	return Seen{}
+}
+
+// before returns the newest revision that was seen.
+func (c *Claim) before() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen.Revision
 }
 
 // waiting reports whether the former holder's right may still be in force.
 func (c *Claim) waiting(ctx context.Context) bool {
 	c.mu.Lock()
-	left, former := clock.Until(c.usableFrom), c.former
+	left, former, listed, open := clock.Until(c.usableFrom), c.former, c.formerListed, len(c.awaits)
 	c.mu.Unlock()
-	if left <= 0 {
+	if left <= 0 && open == 0 {
 		return false
 	}
-	if !c.Peers.Stopped(ctx, former.Record) {
+	if listed && c.Peers.Stopped(ctx, former.Record) {
+		c.Trail.Event("former-stopped").Str("service", c.Service).Str("former", former.Record.Node).Dur("spared", left).Msg("the former holder has stopped")
+		c.strike()
 		return true
 	}
-	c.Trail.Event("former-stopped").Str("service", c.Service).Str("former", former.Record.Node).Dur("spared", left).Msg("the former holder has stopped")
+	if open > 0 {
+		c.clear(ctx)
+	}
+	return true
+}
+
+// strike takes out the former holder, which has ended. If no other is awaited, the wait is over.
+func (c *Claim) strike() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.usableFrom = clock.Now()
-	return false
+	if n := len(c.awaits); c.formerListed && n > 0 {
+		c.awaits = c.awaits[:n-1]
+	}
+	c.formerListed = false
+	if len(c.awaits) == 0 {
+		c.usableFrom = clock.Now()
+	}
 }
 
 // renew reads the key and extends the right if it is unchanged. It returns false if the store gave
@@ -194,6 +234,7 @@
 	}
 	c.confirm(s, sent)
 	c.writePrimary(ctx)
+	c.writeVoters(ctx)
 	return true
 }
 
@@ -209,47 +250,13 @@
 	}
 	first := c.validUntil == 0
 	c.validUntil = max(c.validUntil, sent.Add(TTL))
+	c.renewedAt = sent
 	if first && c.Held != nil {
 		c.Trail.Event("service-held").Str("service", c.Service).Uint64("token", c.token).Str("primary", c.seen.Record.Primary).Msg("this process holds the service")
 		c.lost = c.Held(c)
 	}
 }
 
-// extend keeps the right in force by the promises of all who may take the service over, while the
-// store gives no answer. A right that has lapsed is not revived: what the others saw meanwhile isn't
-// known.
-func (c *Claim) extend(ctx context.Context) {
-	c.mu.Lock()
-	revision, valid, primary := c.mine, clock.Now() < c.validUntil, c.unwritten
-	c.mu.Unlock()
-	if revision == 0 || !valid {
-		return
-	}
-	sent := clock.Now()
-	promised := c.Peers.Promise(ctx, c.Service, revision, promiseTime, primary)
-	c.Trail.Event("promises-asked").Str("service", c.Service).Uint64("revision", revision).Bool("all", promised).Dur("left", c.Left()).Msg("asked the others not to take the service over")
-	if !promised {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.mine == revision {
-		c.validUntil = max(c.validUntil, sent.Add(promiseTime))
-	}
-}
-
-// writePrimary writes the primary that was told to the others only.
-func (c *Claim) writePrimary(ctx context.Context) {
-	c.mu.Lock()
-	member := c.unwritten
-	c.mu.Unlock()
-	if member == "" {
-		return
-	}
-	err := c.SetPrimary(ctx, member)
-	c.Trail.Event("primary-written").Str("service", c.Service).Str("member", member).Err(err).Msg("the store was told of the primary")
-}
-
 // restore writes a key that the store has dropped. While the right is in force, no successor has
 // begun: it waits out the right, and then reads the key, which names this process again.
 func (c *Claim) restore(ctx context.Context) {
--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/claim"
 )
 
 // With the methods below the node answers other proxies.
@@ -19,12 +20,18 @@
 // Leaving reports whether the process shuts down.
 func (n *node) Leaving() bool { return n.leaving.Load() }
 
+// GivenUp returns the revisions of the holdings that the process had and has ended.
+func (n *node) GivenUp() []uint64 { return n.fleet.GivenUp() }
+
 // Stream returns a stream for statements from another proxy.
 func (n *node) Stream(passOn bool) egret.Stream { return n.fleet.Stream(passOn) }
 
-// Promise keeps the process from taking the service over for a time.
-func (n *node) Promise(service string, revision uint64, d time.Duration, primary string) bool {
-	return n.fleet.Grant(service, revision, d, primary)
+// Promise gives the holder of a service a promise, or reports false.
+func (n *node) Promise(service string, q claim.Promise) bool { return n.fleet.Grant(service, q) }
+
+// Clear bars promises to holders before the revision.
+func (n *node) Clear(service string, revision uint64) (time.Duration, claim.Intent) {
+	return n.fleet.Bar(service, revision)
 }
 
 // Hear asks the proxy at the address for its incarnation.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,9 +51,6 @@
 	// Domain and Region are the node's failure domain and its region.
 	Domain string `json:"domain"`
 	Region string `json:"region"`
-
-	// Seasoned says that the node has been registered for so long that every holder knows it.
-	Seasoned bool `json:"seasoned"`
 }
 
 // Fleet knows the proxies and the holders of services. Its exported fields are set before Run.
@@ -99,13 +96,10 @@
 	// asking are the addresses about which other proxies are being asked.
 	asking map[netip.AddrPort]bool
 
-	leaving bool
+	// givenUp are the revisions of holdings that their holders have ended.
+	givenUp map[uint64]bool
 
-	// season says for how long this process has been registered, countedAt when the list was sent
-	// that shows all processes, and gone are those whose registration has vanished since.
-	season    season
-	countedAt clock.Time
-	gone      map[string]vanished
+	leaving bool
 }
 
 // detour is a proxy that hears another one.
@@ -123,8 +117,7 @@
 	f.records = map[string]egret.Item{}
 	f.via = map[netip.AddrPort]detour{}
 	f.asking = map[netip.AddrPort]bool{}
-	f.gone = map[string]vanished{}
-	f.season.inherited = f.Bootstrap
+	f.givenUp = map[uint64]bool{}
 }
 
 // Run registers the process and follows the fleet until the context ends.
@@ -146,7 +139,6 @@
 	g.Go(func() error { return w.Run(ctx) })
 	g.Go(func() error { return f.register(ctx) })
 	g.Go(func() error { return f.listen(ctx) })
-	g.Go(func() error { return f.census(ctx) })
 	return g.Wait()
 }
 
@@ -185,6 +177,7 @@
 			Address:     f.Self.Address,
 		},
 		Peers: f,
+		Fresh: f.Bootstrap,
 		Held:  f.held,
 		Trail: f.Trail,
 	}
@@ -244,12 +237,6 @@
 // reset takes all keys of the fleet.
 func (f *Fleet) reset(items []egret.Item) {
 	f.mu.Lock()
-	for id, n := range f.nodes {
-		f.gone[id] = vanished{
-			node: n,
-			at:   clock.Now(),
-		}
-	}
 	clear(f.nodes)
 	clear(f.records)
 	f.listed = true
@@ -301,10 +288,6 @@
 		return
 	}
 	if item.Removed {
-		f.gone[id] = vanished{
-			node: f.nodes[id],
-			at:   clock.Now(),
-		}
 		delete(f.nodes, id)
 	} else {
 		f.nodes[id] = n
@@ -314,25 +297,20 @@
 
 // register keeps this process registered.
 func (f *Fleet) register(ctx context.Context) error {
-	lease, told := egret.LeaseID(0), false
+	data, err := json.Marshal(f.Self)
+	if err != nil {
+		return err
+	}
+	lease := egret.LeaseID(0)
 	for ctx.Err() == nil {
 		pause := renewInterval
-		sent := clock.Now()
-		err := error(nil)
 		if lease != 0 {
 			err = f.Keys.Renew(ctx, lease)
 		}
-		// The registration is written again when it has vanished, and once when it is seasoned.
-		seasoned := f.Seasoned()
-		if lease == 0 || errors.Is(err, egret.ErrLeaseLapsed) || !f.registered() || seasoned && !told {
-			lease, err = f.announce(ctx, lease, seasoned)
-			told = err == nil && seasoned
+		if lease == 0 || errors.Is(err, egret.ErrLeaseLapsed) || !f.registered() {
+			lease, err = f.announce(ctx, data)
 		}
-		if err == nil {
-			f.mu.Lock()
-			f.season.confirm(sent)
-			f.mu.Unlock()
-		} else {
+		if err != nil {
 			pause = retryInterval
 		}
 		select {
@@ -357,46 +335,25 @@
 	return found && n.Incarnation == f.Self.Incarnation
 }
 
-// announce writes the registration, under the lease or a new one.
-func (f *Fleet) announce(ctx context.Context, lease egret.LeaseID, seasoned bool) (egret.LeaseID, error) {
-	key := nodesPrefix + f.Self.ID
-	item, err := f.Keys.Read(ctx, key)
+// announce writes the registration under a new lease.
+func (f *Fleet) announce(ctx context.Context, data []byte) (egret.LeaseID, error) {
+	lease, err := f.Keys.Grant(ctx, nodeTTL)
 	if err != nil {
 		return 0, err
 	}
-	f.inherit(item)
-	self := f.Self
-	self.Seasoned = seasoned
-	data, err := json.Marshal(self)
+	key := nodesPrefix + f.Self.ID
+	item, err := f.Keys.Read(ctx, key)
 	if err != nil {
 		return 0, err
 	}
-	if lease == 0 || item.Revision == 0 {
-		if lease, err = f.Keys.Grant(ctx, nodeTTL); err != nil {
-			return 0, err
-		}
-	}
 	_, err = f.Keys.Swap(ctx, key, item.Revision, data, lease)
-	f.Trail.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(lease)).Bool("seasoned", seasoned).Err(err).Msg("this process registered itself")
+	f.Trail.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(lease)).Err(err).Msg("this process registered itself")
 	if err != nil {
 		return 0, err
 	}
 	return lease, nil
 }
 
-// inherit takes over from a former process at the same address that every holder knew.
-func (f *Fleet) inherit(item egret.Item) {
-	former := Node{}
-	if item.Revision == 0 || json.Unmarshal(item.Data, &former) != nil {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.season.since == 0 && former.Seasoned && former.Address == f.Self.Address {
-		f.season.inherited = true
-	}
-}
-
 // Leave keeps this process from taking services.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -435,8 +392,18 @@
 	return f.leaving
 }
 
-// Grant keeps this process from taking the service over for a time.
-func (f *Fleet) Grant(service string, revision uint64, d time.Duration, primary string) bool {
+// Grant gives the holder of a service a promise, or reports false.
+func (f *Fleet) Grant(service string, q claim.Promise) bool {
+	c := f.Claim(service)
+	return c != nil && c.Grant(q)
+}
+
+// Bar bars promises to the holders of a service before the revision.
+func (f *Fleet) Bar(service string, revision uint64) (time.Duration, claim.Intent) {
 	c := f.Claim(service)
-	return c != nil && c.Promise(revision, d, primary)
+	if c == nil {
+		// A process without the service's configuration has given no promise since it started.
+		return claim.PromiseTime, claim.Intent{}
+	}
+	return c.Bar(revision)
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -181,8 +183,85 @@
 		heard, asked := f.Pool.Heard(s.Record.Address)
 		due := asked != 0 || clock.Since(heard) > listenInterval && f.Rank(c.Service) < listeners
 		if due {
-			// The answer is noted in the pool.
-			go func() { _, _ = f.Pool.Ping(ctx, s.Record.Address) }()
+			go f.pingHolder(ctx, s.Record.Address)
 		}
 	}
 }
+
+// pingHolder asks a holder what it has given up. Whether it answers is noted in the pool.
+func (f *Fleet) pingHolder(ctx context.Context, a netip.AddrPort) {
+	reply, err := f.Pool.Ping(ctx, a)
+	if err != nil || len(reply.GetGivenUp()) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, revision := range reply.GetGivenUp() {
+		f.givenUp[revision] = true
+	}
+}
+
+// GaveUp reports whether the holder at the revision has said that it holds the service no longer.
+func (f *Fleet) GaveUp(revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.givenUp[revision]
+}
+
+// GivenUp returns the revisions of the holdings that this process had and has ended.
+func (f *Fleet) GivenUp() []uint64 {
+	revisions := []uint64{}
+	for _, c := range f.allClaims() {
+		if r := c.GivenUp(); r != 0 {
+			revisions = append(revisions, r)
+		}
+	}
+	return revisions
+}
+
+// maxVoters bounds the processes whose promises keep a holder in force without the store. Four of
+// them may be lost.
+const maxVoters = 9
+
+// Voters returns the processes that a new holder names in its record: this one, and others so that
+// failure domains take turns.
+func (f *Fleet) Voters() []claim.Voter {
+	f.mu.Lock()
+	nodes := []Node{}
+	for _, n := range f.nodes {
+		if n.ID != f.Self.ID {
+			nodes = append(nodes, n)
+		}
+	}
+	f.mu.Unlock()
+	turn := map[string]int{}
+	slices.SortFunc(nodes, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
+	rank := map[string]int{}
+	for _, n := range nodes {
+		rank[n.ID] = turn[n.Domain]
+		turn[n.Domain]++
+	}
+	slices.SortStableFunc(nodes, func(a, b Node) int { return rank[a.ID] - rank[b.ID] })
+	voters := []claim.Voter{{
+		Node:    f.Self.ID,
+		Address: f.Self.Address,
+	}}
+	for _, n := range nodes[:min(len(nodes), maxVoters-1)] {
+		voters = append(voters, claim.Voter{
+			Node:    n.ID,
+			Address: n.Address,
+		})
+	}
+	slices.SortFunc(voters, func(a, b claim.Voter) int { return strings.Compare(a.Node, b.Node) })
+	return voters
+}
+
+// Promise asks a process for its promise.
+func (f *Fleet) Promise(ctx context.Context, v claim.Voter, service string, q claim.Promise) (bool, error) {
+	return f.Pool.Promise(ctx, v.Address, service, q)
+}
+
+// Clear asks a process to give former holders no promises any more.
+func (f *Fleet) Clear(ctx context.Context, v claim.Voter, service string, revision uint64) (time.Duration, claim.Intent, error) {
+	return f.Pool.Clear(ctx, v.Address, service, revision)
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"egretlane.example/egret/claim"
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/internal/linkpb"
 	"egretlane.example/egret/netopt"
@@ -193,17 +194,31 @@
 	return ask(ctx, p, a, PingTimeout, &linkpb.PingRequest{}, linkpb.LinkClient.Ping)
 }
 
-// Promise asks the proxy not to take a service over for a time, and to remember the primary.
-func (p *Pool) Promise(ctx context.Context, a netip.AddrPort, service string, revision uint64, d time.Duration, primary string) (bool, error) {
+// Promise asks the proxy to acknowledge no successor of a holder for a time.
+func (p *Pool) Promise(ctx context.Context, a netip.AddrPort, service string, q claim.Promise) (bool, error) {
 	r, err := ask(ctx, p, a, PingTimeout, &linkpb.PromiseRequest{
 		Service:    service,
-		Revision:   revision,
-		DurationNs: int64(d),
-		Primary:    primary,
+		Revision:   q.Revision,
+		DurationNs: int64(q.Time),
+		Primary:    q.Intent.Primary,
+		Order:      q.Intent.Order,
 	}, linkpb.LinkClient.Promise)
 	return r.GetGranted(), err
 }
 
+// Clear asks the proxy to give the holders before the revision no promises any more. It returns how
+// long one is still in force.
+func (p *Pool) Clear(ctx context.Context, a netip.AddrPort, service string, revision uint64) (time.Duration, claim.Intent, error) {
+	r, err := ask(ctx, p, a, PingTimeout, &linkpb.ClearRequest{
+		Service:  service,
+		Revision: revision,
+	}, linkpb.LinkClient.Clear)
+	return time.Duration(r.GetLeftNs()), claim.Intent{
+		Primary: r.GetPrimary(),
+		Order:   r.GetOrder(),
+	}, err
+}
+
 // Hear asks the proxy at via whether it gets an answer from the one at the address, and of which
 // incarnation.
 func (p *Pool) Hear(ctx context.Context, via, a netip.AddrPort) (bool, string, error) {
--- a/link/server.go
+++ b/link/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/claim"
 	"egretlane.example/egret/internal/linkpb"
 )
 
@@ -24,13 +25,18 @@
 	// Leaving reports whether the process shuts down.
 	Leaving() bool
 
+	// GivenUp returns the revisions of the holdings that the process had and has ended.
+	GivenUp() []uint64
+
 	// Stream returns a stream for statements from another proxy. passOn allows it to pass them on to
 	// the holder of the service.
 	Stream(passOn bool) egret.Stream
 
-	// Promise keeps the process from taking the service over for a time. primary is the member that
-	// the holder makes primary, or "".
-	Promise(service string, revision uint64, d time.Duration, primary string) bool
+	// Promise gives the holder of a service a promise, or reports false.
+	Promise(service string, q claim.Promise) bool
+
+	// Clear bars promises to holders before the revision, and returns how long one is still in force.
+	Clear(service string, revision uint64) (time.Duration, claim.Intent)
 
 	// Raise takes a commit of a predecessor. last says that it was the predecessor's last.
 	Raise(service string, term uint64, p egret.Position, last bool) bool
@@ -94,13 +100,31 @@
 		Node:        s.Host.Node(),
 		Incarnation: s.Host.Incarnation(),
 		Leaving:     s.Host.Leaving(),
+		GivenUp:     s.Host.GivenUp(),
 	}, nil
 }
 
-// Promise keeps the process from taking a service over.
+// Promise gives the holder of a service a promise.
 func (s *Server) Promise(_ context.Context, r *linkpb.PromiseRequest) (*linkpb.PromiseReply, error) {
 	return &linkpb.PromiseReply{
-		Granted: s.Host.Promise(r.GetService(), r.GetRevision(), time.Duration(r.GetDurationNs()), r.GetPrimary()),
+		Granted: s.Host.Promise(r.GetService(), claim.Promise{
+			Revision: r.GetRevision(),
+			Time:     time.Duration(r.GetDurationNs()),
+			Intent: claim.Intent{
+				Primary: r.GetPrimary(),
+				Order:   r.GetOrder(),
+			},
+		}),
+	}, nil
+}
+
+// Clear bars promises to former holders.
+func (s *Server) Clear(_ context.Context, r *linkpb.ClearRequest) (*linkpb.ClearReply, error) {
+	left, intent := s.Host.Clear(r.GetService(), r.GetRevision())
+	return &linkpb.ClearReply{
+		LeftNs:  int64(left),
+		Primary: intent.Primary,
+		Order:   intent.Order,
 	}, nil
 }
 
