--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,105 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestHoldingOutlastsTheStore takes the store away from all and loses a minority: the holder goes on.
+func TestHoldingOutlastsTheStore(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 5)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	w.change(func() {
+		for _, c := range w.claims {
+			w.cutStore[c.Self.Node] = true
+		}
+		for i := 3; i < 5; i++ {
+			for j := range 5 {
+				w.cutPeers[[2]string{nodeName(i), nodeName(j)}] = i != j
+			}
+		}
+	})
+	for began := time.Now(); time.Since(began) < 4*time.Second; {
+		if c := w.valid(t); c != holder {
+			t.Fatalf("the holder lost the service after %v", time.Since(began))
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSuccessorWaitsForPromises cuts the holder from the store and from one other process, which
+// takes the record. The holder has its promises from the rest, so the successor has to wait until
+// these bar them.
+func TestSuccessorWaitsForPromises(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 5)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	other := nodeName(4)
+	w.change(func() {
+		w.cutStore[holder.Self.Node] = true
+		w.cutPeers[[2]string{holder.Self.Node, other}] = true
+	})
+	w.await(t, "successor", 8*time.Second, func(c *Claim) bool { return c.Self.Node == other })
+}
+
+// TestLapsedHolderGivesUp cuts the holder from the store for longer than promises count. Another
+// process takes the service although the holder answers it.
+func TestLapsedHolderGivesUp(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 3)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	w.change(func() { w.cutStore[holder.Self.Node] = true })
+	w.await(t, "successor", extendLimit+5*time.Second, func(c *Claim) bool { return c != holder })
+}
+
+// TestDroppedRecordIsRestored takes the key away under a living holder.
+func TestDroppedRecordIsRestored(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 3)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	w.change(func() { w.item.Revision = 0 })
+	for began := time.Now(); time.Since(began) < 3*time.Second; {
+		if c := w.valid(t); c != holder {
+			t.Fatalf("the holder lost the service after %v", time.Since(began))
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestOneHolderAtATime cuts and heals at random, with answers that are lost and writes that land late.
+// There are never two holders, and there is one soon after all has healed.
+func TestOneHolderAtATime(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld()
+			w.start(t, 5)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				w.chaos(seed, 24, 500*time.Millisecond)
+			}()
+			for running := true; running; {
+				select {
+				case <-done:
+					running = false
+				default:
+					w.valid(t)
+					time.Sleep(time.Millisecond)
+				}
+			}
+			w.change(func() {
+				clear(w.cutStore)
+				clear(w.loseReply)
+				clear(w.cutPeers)
+			})
+			w.await(t, "holder after all has healed", extendLimit+5*time.Second, func(*Claim) bool { return true })
+		})
+	}
+}
