front: a session that is to end rests first

Cause: at SIGTERM a session was closed right after an answer, as its caller sent the next statement; single writes sent into that are not sent again by callers. Ruled out: statements under way (the phase keeps them). TestDrainWaitsForTheNextStatement failed before.

--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -11,8 +11,8 @@
 	// said that it isn't ready: two questions, a second apart, and some.
 	rotationTime = 2200 * time.Millisecond
 
-	// transactionTime is how long an open transaction has to end.
-	transactionTime = time.Second
+	// transactionTime is how long sessions have to come to rest.
+	transactionTime = 1500 * time.Millisecond
 
 	// laneTime is how long transactions on a lane have to end before its service is released.
 	laneTime = 500 * time.Millisecond
@@ -35,7 +35,6 @@
 	}
 	wg.Wait()
 	time.Sleep(rotationTime - time.Since(began))
-	n.front.Drain()
-	left := n.front.Wait(min(transactionTime, time.Duration(n.settings.ShutdownGrace)-time.Since(began)))
+	left := n.front.Drain(min(transactionTime, time.Duration(n.settings.ShutdownGrace)-time.Since(began)))
 	n.trail.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(began)).Msg("the sessions were ended")
 }
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"egretlane.example/egret"
 )
@@ -33,7 +34,7 @@
 		s.serve(context.Background(), c)
 	}()
 	<-c.waiting
-	s.Drain()
+	s.Drain(time.Second)
 	<-ended
 	if works := stream.seen(); len(works) != 0 {
 		t.Errorf("%d statements went to a member after the session was closed", len(works))
@@ -63,8 +64,40 @@
 			t.Fatalf("%s: %v", q.Text, a.Fault)
 		}
 		if i == 0 {
-			s.Drain()
+			go s.Drain(5 * time.Second)
 		}
 	}
+	close(c.queries)
 	<-ended
 }
+
+// TestDrainWaitsForTheNextStatement lets a caller send its next statement shortly after an answer. The
+// session must not be closed in between.
+func TestDrainWaitsForTheNextStatement(t *testing.T) {
+	stream := &fakeStream{
+		do: func(egret.Work) egret.Answer { return egret.Answer{Signature: "s"} },
+	}
+	s := serverOf(stream)
+	c := newFakeConn("orders")
+	closed := make(chan struct{})
+	once := sync.Once{}
+	c.closing = func() { once.Do(func() { close(closed) }) }
+	go s.serve(context.Background(), c)
+	<-c.waiting
+	drained := false
+	for range 4 {
+		c.queries <- egret.Query{ID: "1", Verb: egret.VerbRead, Text: "READ a"}
+		<-c.answers
+		if !drained {
+			drained = true
+			go s.Drain(5 * time.Second)
+		}
+		select {
+		case <-closed:
+			t.Fatal("the session was closed right after an answer")
+		case <-time.After(restTime / 3):
+		}
+	}
+	<-closed
+	close(c.queries)
+}
--- a/front/server.go
+++ b/front/server.go
@@ -23,6 +23,12 @@
 	configurationTime = 1500 * time.Millisecond
 	configurationPoll = 20 * time.Millisecond
 
+	// restTime is how long a session rests before it may be ended: several round trips to callers.
+	restTime = 60 * time.Millisecond
+
+	// drainPoll is how often sessions are looked at that shall end.
+	drainPoll = 10 * time.Millisecond
+
 	// defaultTimeout bounds a statement whose route sets no time.
 	defaultTimeout = 5 * time.Second
 
@@ -62,12 +68,11 @@
 	// Counts may be nil.
 	Counts Counts
 
-	// draining says that sessions end as soon as they rest.
+	// draining says that sessions are being ended.
 	draining atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	done     sync.WaitGroup
 }
 
 // Serve accepts callers until the listener is closed.
@@ -82,46 +87,36 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		s.done.Add(1)
-		go func() {
-			defer s.done.Done()
-			s.serve(ctx, s.Codec(c))
-		}()
+		go s.serve(ctx, s.Codec(c))
 	}
 }
 
-// Drain ends resting sessions now and the others after their transactions.
-func (s *Server) Drain() {
+// Drain ends sessions until none is left or the time is over. A session ends when it has rested for a
+// while: right after an answer its caller's next statement may be on its way, and would be lost. It
+// returns how many sessions are left.
+func (s *Server) Drain(d time.Duration) int {
 	s.draining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for e := range s.sessions {
-		if e.phase.CompareAndSwap(phaseResting, phaseEnded) {
-			e.conn.Close()
+	began := clock.Now()
+	for {
+		left := s.endResting(restTime)
+		if left == 0 || clock.Since(began) >= d {
+			return left
 		}
+		time.Sleep(drainPoll)
 	}
 }
 
-// Open sessions that are in the middle of something.
-func (s *Server) busy() int {
+// endResting ends the sessions that have rested for the time and returns how many are left.
+func (s *Server) endResting(d time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.sessions)
-}
-
-// Wait returns when all sessions have ended, or after the time. It returns how many are left.
-func (s *Server) Wait(d time.Duration) int {
-	ended := make(chan struct{})
-	go func() {
-		s.done.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return 0
-	case <-time.After(d):
-		return s.busy()
+	now := clock.Now()
+	for e := range s.sessions {
+		if now.Sub(clock.Time(e.rested.Load())) >= d && e.phase.CompareAndSwap(phaseResting, phaseEnded) {
+			e.conn.Close()
+		}
 	}
+	return len(s.sessions)
 }
 
 // serve runs one session.
--- a/front/session.go
+++ b/front/session.go
@@ -60,6 +60,9 @@
 	// phase says who may end the session. It changes by compare-and-swap, so that a statement that
 	// arrives while the session is being ended is either served whole or never sent to a member.
 	phase atomic.Int32
+
+	// rested is when the session began to rest, as a clock.Time.
+	rested atomic.Int64
 }
 
 // The phases of a session.
@@ -79,10 +82,8 @@
 	e.status = egret.TxIdle
 	for ctx.Err() == nil {
 		if e.status == egret.TxIdle {
+			e.rested.Store(int64(clock.Now()))
 			e.phase.Store(phaseResting)
-			if e.server.draining.Load() {
-				return
-			}
 		}
 		q, err := e.conn.Next()
 		if err != nil {
