group: reads avoid a member that gave no answer; node: configuration from others while cut off

Cause (seen by the new TestReadWithoutAnswerRunsElsewhere, which failed): a read whose answer was lost went to the same member again until its time was over.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -261,7 +261,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.known && item.Revision <= c.seen.Revision && !(item.Removed || item.Revision == 0) {
+	absent := item.Removed || item.Revision == 0
+	if c.known && !absent && item.Revision <= c.seen.Revision {
 		return
 	}
 	if item.Removed && item.Revision < c.seen.Revision {
--- a/claim/take.go
+++ b/claim/take.go
@@ -107,7 +107,8 @@
 	c.mu.Unlock()
 	record.Voters = c.Peers.Voters()
 	record.Awaits = slices.Clone(before.Record.Awaits)
-	listed := !w.stopped && !(c.Fresh && before.Revision == 0 && before.Record.Node == "")
+	first := c.Fresh && before.Revision == 0 && before.Record.Node == ""
+	listed := !w.stopped && !first
 	if listed {
 		record.Awaits = append(record.Awaits, before.Record.Voters)
 	}
--- a/egretlane/directory.go
+++ b/egretlane/directory.go
@@ -26,6 +26,9 @@
 	// tables is the configuration in force. Its version never falls.
 	tables atomic.Pointer[egret.Tables]
 
+	// lost says that the store gives no answer about the configuration.
+	lost atomic.Bool
+
 	// needed wakes the watch of members.
 	needed chan struct{}
 
@@ -56,12 +59,19 @@
 				d.operator(item)
 			}
 		},
-		Change: d.operator,
-		Trail:  d.trail,
+		Change:   d.operator,
+		Lost:     func() { d.lost.Store(true) },
+		Regained: func() { d.lost.Store(false) },
+		Trail:    d.trail,
 	}
 	return w.Run(ctx)
 }
 
+// cutOff reports whether the store gives no answer about the configuration.
+func (d *directory) cutOff() bool {
+	return d.lost.Load()
+}
+
 // operator takes a key that the operator wrote.
 func (d *directory) operator(item egret.Item) {
 	if item.Key == platform.ConfigKey && !item.Removed {
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -137,14 +137,15 @@
 	g.Go(func() error { return n.fleet.Run(work) })
 	g.Go(func() error { return n.directory.watchTables(work) })
 	g.Go(func() error { return n.directory.watchMembers(work, func() bool { return len(n.fleet.Lanes()) > 0 }) })
+	g.Go(func() error { return n.pullTables(work) })
 	g.Go(func() error { return n.front.Serve(work, callers) })
 	select {
 	case <-ctx.Done():
 		n.shutDown()
-		callers.Close()
+		closeListener(callers)
 		end()
 		rpc.Stop()
-		ready.Close()
+		closeListener(ready)
 		n.trail.Event("process-stopped").Msg("the process ends")
 		return nil
 	case <-work.Done():
@@ -164,6 +165,11 @@
 	}
 }
 
+// closeListener closes a listener. Its only error is that it was closed before.
+func closeListener(l net.Listener) {
+	_ = l.Close()
+}
+
 func serveHTTP(l net.Listener, h http.Handler) error {
 	s := http.Server{
 		Handler:           h,
@@ -172,6 +178,31 @@
 	return s.Serve(l)
 }
 
+// pullTables asks another proxy for a newer configuration, while the store gives this one no answer.
+func (n *node) pullTables(ctx context.Context) error {
+	tick := time.NewTicker(pullInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		peer, found := n.fleet.Another()
+		if !found || !n.directory.cutOff() {
+			continue
+		}
+		version := uint64(0)
+		if t := n.directory.tables.Load(); t != nil {
+			version = t.Revision
+		}
+		data, err := n.pool.Tables(ctx, peer.Address, version)
+		if err == nil && len(data) > 0 {
+			n.directory.take(data, peer.ID)
+		}
+	}
+}
+
 // ready reports whether the process takes callers.
 func (n *node) ready() bool {
 	return !n.leaving.Load() && n.directory.tables.Load() != nil
--- /dev/null
+++ b/group/lane_test.go
@@ -0,0 +1,279 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"egretlane.example/egret"
+)
+
+// TestLapsedHolderSendsNothing lets the holding lapse: nothing may reach a member from then on.
+func TestLapsedHolderSendsNothing(t *testing.T) {
+	s := newFakeService()
+	l, h := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	tx := l.Stream()
+	begin := write("1")
+	begin.Begin = egret.VerbBegin
+	if a := tx.Do(context.Background(), begin); a.Fault.Kind != egret.FaultNone {
+		t.Fatalf("begin: %+v", a)
+	}
+	h.set(true)
+	before := s.total()
+	if a := l.Stream().Do(context.Background(), write("2")); a.Fault.Kind != egret.FaultMoved {
+		t.Errorf("write: %+v, want that it moved", a)
+	}
+	if a := l.Stream().Do(context.Background(), read("3")); a.Fault.Kind != egret.FaultMoved {
+		t.Errorf("read: %+v, want that it moved", a)
+	}
+	commit := read("4")
+	commit.Query.Verb = egret.VerbCommit
+	commit.Query.Text = "COMMIT"
+	commit.InTransaction = true
+	commit.Writes = true
+	if a := tx.Do(context.Background(), commit); !a.Fault.Kind.NotRun() {
+		t.Errorf("commit: %+v, want a promise that nothing is kept", a)
+	}
+	if after := s.total(); after != before {
+		t.Errorf("%d statements ran after the holding had lapsed", after-before)
+	}
+}
+
+// total counts the statements that ran.
+func (s *fakeService) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, m := range s.members {
+		n += len(m.ran)
+	}
+	return n
+}
+
+// TestCommitInDoubtIfTheHoldingLapsed lets the holding lapse while a write runs. A successor may not
+// know the commit, so it must not be acknowledged.
+func TestCommitInDoubtIfTheHoldingLapsed(t *testing.T) {
+	s := newFakeService()
+	l, h := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	s.member("a", func(m *fakeMember) { m.work = 100 * time.Millisecond })
+	time.AfterFunc(40*time.Millisecond, func() { h.set(true) })
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultInDoubt {
+		t.Errorf("write: %+v, want that its outcome is unknown", a)
+	}
+}
+
+// TestLostPrimaryIsReplaced takes the primary away. The replica that has received most leads, and the
+// old primary is demoted when it is back.
+func TestLostPrimaryIsReplaced(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	s.member("b", func(m *fakeMember) { m.frozen = true })
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone {
+		t.Fatalf("write: %+v", a)
+	}
+	s.member("a", func(m *fakeMember) { m.down = true })
+	began := time.Now()
+	w := write("2")
+	w.Timeout = 3 * time.Second
+	answer := l.Stream().Do(context.Background(), w)
+	for answer.Fault.Kind == egret.FaultInDoubt {
+		answer = l.Stream().Do(context.Background(), w)
+	}
+	if answer.Fault.Kind != egret.FaultNone || answer.Member != "c" {
+		t.Fatalf("write after the loss: %+v, want c to answer", answer)
+	}
+	if elapsed := time.Since(began); elapsed > 2*time.Second {
+		t.Errorf("the service was without a primary for %v", elapsed)
+	}
+	s.member("a", func(m *fakeMember) { m.down = false })
+	eventually(t, "demotion of the old primary", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.members["a"].role == egret.RoleReplica
+	})
+}
+
+// TestLeavingPrimaryLosesNothing drains the primary while writes go on. Each acknowledged write is in
+// the new primary's log.
+func TestLeavingPrimaryLosesNothing(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	stop := make(chan struct{})
+	acknowledged := 0
+	wg := sync.WaitGroup{}
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind == egret.FaultNone {
+				acknowledged++
+			}
+		}
+	})
+	time.Sleep(50 * time.Millisecond)
+	leaving := s.backends()
+	leaving[0].Draining = true
+	l.Update(leaving)
+	eventually(t, "another primary", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.led && l.primary != "a"
+	})
+	time.Sleep(50 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, m := range s.members {
+		if m.role == egret.RolePrimary && id != "a" && int(m.position.Offset)-10 < acknowledged {
+			t.Errorf("%s leads with %d commits of %d acknowledged", id, m.position.Offset-10, acknowledged)
+		}
+	}
+}
+
+// TestWriteWithoutAnswerRunsOnce loses the answer to a write.
+func TestWriteWithoutAnswerRunsOnce(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	s.member("a", func(m *fakeMember) { m.silent = true })
+	w := write("1")
+	w.Timeout = 200 * time.Millisecond
+	if a := l.Stream().Do(context.Background(), w); a.Fault.Kind != egret.FaultInDoubt {
+		t.Errorf("answer %+v, want that the outcome is unknown", a)
+	}
+	if n := s.total(); n != 1 {
+		t.Errorf("the write ran %d times", n)
+	}
+}
+
+// TestReadWithoutAnswerRunsElsewhere loses the answers of two members.
+func TestReadWithoutAnswerRunsElsewhere(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	s.member("b", func(m *fakeMember) { m.silent = true })
+	s.member("c", func(m *fakeMember) { m.silent = true })
+	w := read("1")
+	w.Timeout = 2 * time.Second
+	if a := l.Stream().Do(context.Background(), w); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+		t.Errorf("answer %+v, want one of a", a)
+	}
+}
+
+// TestTransactionStaysOnItsConnection runs a transaction beside others with other session values.
+func TestTransactionStaysOnItsConnection(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	wg := sync.WaitGroup{}
+	for i := range 6 {
+		wg.Go(func() {
+			stream := l.Stream()
+			defer stream.Close()
+			for round := range 10 {
+				w := write("1")
+				w.Values = []egret.SessionValue{{Name: "tenant", Value: string(rune('a' + i))}}
+				w.Begin = egret.VerbBegin
+				if a := stream.Do(context.Background(), w); a.Fault.Kind != egret.FaultNone || a.Status != egret.TxOpen {
+					t.Errorf("round %d: begin %+v", round, a)
+					return
+				}
+				held := stream.conn
+				w.Begin = egret.VerbInvalid
+				w.InTransaction = true
+				stream.Do(context.Background(), w)
+				if stream.conn != held {
+					t.Errorf("round %d: the transaction changed its connection", round)
+				}
+				w.Query.Verb, w.Query.Text = egret.VerbCommit, "COMMIT"
+				if a := stream.Do(context.Background(), w); a.Fault.Kind != egret.FaultNone || a.Status != egret.TxIdle {
+					t.Errorf("round %d: commit %+v", round, a)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestRestingTransactionIsEnded lets a transaction rest for longer than it may.
+func TestRestingTransactionIsEnded(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	stream := l.Stream()
+	w := write("1")
+	w.Begin = egret.VerbBegin
+	w.Idle = 10 * time.Millisecond
+	stream.Do(context.Background(), w)
+	eventually(t, "end of the transaction", func() bool { return l.inUse() == 0 })
+	w.Begin = egret.VerbInvalid
+	w.InTransaction = true
+	if a := stream.Do(context.Background(), w); a.Fault.Kind != egret.FaultAborted {
+		t.Errorf("answer %+v, want that the transaction was ended", a)
+	}
+}
+
+// TestBurstKeepsSlots sends far more than the members can run. Nothing beyond their slots is sent, and
+// what can't be served in time is refused as not run, at once.
+func TestBurstKeepsSlots(t *testing.T) {
+	s := newFakeService()
+	for _, id := range []string{"a", "b", "c"} {
+		s.member(id, func(m *fakeMember) { m.work = 10 * time.Millisecond })
+	}
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	wg := sync.WaitGroup{}
+	mu := sync.Mutex{}
+	served, refused := 0, 0
+	for range 400 {
+		wg.Go(func() {
+			w := read("1")
+			w.Timeout = 300 * time.Millisecond
+			began := time.Now()
+			a := l.Stream().Do(context.Background(), w)
+			mu.Lock()
+			defer mu.Unlock()
+			switch a.Fault.Kind {
+			case egret.FaultNone:
+				served++
+			case egret.FaultBusy:
+				refused++
+			default:
+				t.Errorf("answer %+v after %v", a, time.Since(began))
+			}
+		})
+	}
+	wg.Wait()
+	// Six slots of 10 ms work off 180 statements in 300 ms.
+	if served < 90 {
+		t.Errorf("%d served, %d refused", served, refused)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, m := range s.members {
+		if m.most > 2 {
+			t.Errorf("%s ran %d statements at once, and has 2 slots", id, m.most)
+		}
+		if m.connections > 12 {
+			t.Errorf("%s has %d connections", id, m.connections)
+		}
+	}
+}
--- a/group/stream.go
+++ b/group/stream.go
@@ -222,12 +222,22 @@
 	}
 	l.release(m)
 	l.unconnected(m, err)
+	l.avoid(it, m)
+	return nil, egret.Fault{}
+}
+
+// avoid keeps a statement from a member that failed it, as long as there are others. There is only one
+// primary: it is asked again until it is replaced.
+func (l *Lane) avoid(it *sched.Item, m *member) {
+	if it.Need != sched.NeedAny {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	it.Avoid = append(it.Avoid, m.backend.ID)
-	if it.Need == sched.NeedPrimary {
-		// There is only one: it is asked again until it is replaced.
-		it.Avoid = it.Avoid[:0]
+	if len(it.Avoid) >= len(l.members) {
+		it.Avoid = nil
 	}
-	return nil, egret.Fault{}
 }
 
 // unconnected acts on a failed connect.
@@ -262,6 +272,7 @@
 	l.release(m)
 	if err != nil {
 		l.broken(c, w, sent, err)
+		l.avoid(it, m)
 		return l.lost(w, it, err), it.Need == sched.NeedAny && clock.Now() < it.Deadline
 	}
 	a := answers[len(answers)-1]
@@ -328,7 +339,7 @@
 		return a, true
 	case egret.FaultFailed:
 		if !w.Writes && len(it.Avoid) == 0 {
-			it.Avoid = append(it.Avoid, m.backend.ID)
+			l.avoid(it, m)
 			return a, true
 		}
 		return a, false
--- a/link/pool.go
+++ b/link/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -39,6 +40,9 @@
 	window = 256 << 10
 )
 
+// errReplaced says that a connection was closed just as it was to be used.
+const errReplaced = errors.ConstError("the connection is being replaced")
+
 // Pool holds the connections to the other proxies. The zero Pool is ready to use.
 type Pool struct {
 	mu    sync.Mutex
@@ -65,7 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, e := range p.peers {
-		e.conn.Close()
+		closeConn(e.conn)
 		delete(p.peers, a)
 	}
 }
@@ -136,7 +140,14 @@
 	}
 	p.mu.Unlock()
 	if same {
-		conn.Close()
+		closeConn(conn)
+	}
+}
+
+// closeConn closes a connection. Its only error is that it was closed before.
+func closeConn(conn *grpc.ClientConn) {
+	if conn != nil {
+		_ = conn.Close()
 	}
 }
 
@@ -146,8 +157,8 @@
 	e := p.peers[a]
 	delete(p.peers, a)
 	p.mu.Unlock()
-	if e != nil && e.conn != nil {
-		e.conn.Close()
+	if e != nil {
+		closeConn(e.conn)
 	}
 }
 
@@ -174,7 +185,7 @@
 	}
 	p.mu.Unlock()
 	if conn == nil {
-		return none, grpc.ErrClientConnClosing
+		return none, errReplaced
 	}
 	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
