--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -52,3 +52,6 @@
 func (n *node) TablesAbove(version uint64) (uint64, []byte) {
 	return n.directory.above(version)
 }
+
+// Records returns the newest records of holders that the process has read.
+func (n *node) Records() []egret.Item { return n.fleet.Records() }
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -33,9 +33,9 @@
 	// descriptorReserve is how many descriptors are kept for files, members, proxies and the store.
 	descriptorReserve = 700
 
-	// pullInterval is how often another proxy is asked for a newer configuration while the store
-	// gives no answer.
-	pullInterval = time.Second
+	// pullInterval is how often another proxy is asked for what has changed while the store gives no
+	// answer.
+	pullInterval = 400 * time.Millisecond
 )
 
 // node is a proxy process of a fleet.
@@ -178,7 +178,8 @@
 	return s.Serve(l)
 }
 
-// pullTables asks another proxy for a newer configuration, while the store gives this one no answer.
+// pullTables asks another proxy for a newer configuration and for the holders of services, while the
+// store gives this one no answer.
 func (n *node) pullTables(ctx context.Context) error {
 	tick := time.NewTicker(pullInterval)
 	defer tick.Stop()
@@ -196,8 +197,12 @@
 		if t := n.directory.tables.Load(); t != nil {
 			version = t.Revision
 		}
-		data, err := n.pool.Tables(ctx, peer.Address, version)
-		if err == nil && len(data) > 0 {
+		data, records, err := n.pool.Tables(ctx, peer.Address, version)
+		if err != nil {
+			continue
+		}
+		n.fleet.Learn(records)
+		if len(data) > 0 {
 			n.directory.take(data, peer.ID)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -99,6 +99,9 @@
 	// givenUp are the revisions of holdings that their holders have ended.
 	givenUp map[uint64]bool
 
+	// movedAt is when a process was asked last whether it has given up a service.
+	movedAt map[netip.AddrPort]clock.Time
+
 	leaving bool
 }
 
@@ -118,6 +121,7 @@
 	f.via = map[netip.AddrPort]detour{}
 	f.asking = map[netip.AddrPort]bool{}
 	f.givenUp = map[uint64]bool{}
+	f.movedAt = map[netip.AddrPort]clock.Time{}
 }
 
 // Run registers the process and follows the fleet until the context ends.
@@ -274,6 +278,41 @@
 	}
 }
 
+// Records returns the newest records of holders that were read.
+func (f *Fleet) Records() []egret.Item {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	items := []egret.Item{}
+	for _, item := range f.records {
+		if item.Revision != 0 && !item.Removed {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// Learn takes records that another proxy has read. They may be old, so only newer ones than those that
+// this process has read itself count.
+func (f *Fleet) Learn(records []egret.Item) {
+	for _, item := range records {
+		service, found := strings.CutPrefix(item.Key, claim.Prefix)
+		c := f.Claim(service)
+		if !found || c == nil {
+			continue
+		}
+		if _, known := c.Seen(); !known {
+			continue
+		}
+		c.Observe(item)
+		f.mu.Lock()
+		if item.Revision > f.records[service].Revision {
+			f.records[service] = item
+		}
+		f.mu.Unlock()
+	}
+}
+
+// changeNode takes a registration.
 func (f *Fleet) changeNode(id string, item egret.Item) {
 	n := Node{}
 	if !item.Removed {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -204,6 +204,17 @@
 	}
 }
 
+// moved asks a process that no longer runs a service's statements whether it has given the service up.
+func (f *Fleet) moved(a netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !a.IsValid() || f.run == nil || clock.Since(f.movedAt[a]) < listenInterval {
+		return
+	}
+	f.movedAt[a] = clock.Now()
+	go f.pingHolder(f.run, a)
+}
+
 // pingHolder asks a holder what it has given up. Whether it answers is noted in the pool.
 func (f *Fleet) pingHolder(ctx context.Context, a netip.AddrPort) {
 	reply, err := f.Pool.Ping(ctx, a)
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -115,6 +115,7 @@
 		case a.Fault.Kind == egret.FaultMoved:
 			last = a.Fault.Text
 			r.Close()
+			r.fleet.moved(r.target.address)
 			sleep(ctx, min(reroutePause, left))
 		case a.Fault.Kind != egret.FaultLost:
 			return a
--- a/link/pool.go
+++ b/link/pool.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"egretlane.example/egret"
 	"egretlane.example/egret/claim"
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/internal/linkpb"
@@ -247,12 +248,21 @@
 	return r.GetReached(), err
 }
 
-// Tables asks the proxy for a configuration above the version. It returns no data if there is none.
-func (p *Pool) Tables(ctx context.Context, a netip.AddrPort, above uint64) ([]byte, error) {
+// Tables asks the proxy for a configuration above the version, and for the records of holders. It
+// returns no data if there is no newer configuration.
+func (p *Pool) Tables(ctx context.Context, a netip.AddrPort, above uint64) ([]byte, []egret.Item, error) {
 	r, err := ask(ctx, p, a, 2*PingTimeout, &linkpb.TablesRequest{
 		Above: above,
 	}, linkpb.LinkClient.Tables)
-	return r.GetData(), err
+	records := []egret.Item{}
+	for _, m := range r.GetRecords() {
+		records = append(records, egret.Item{
+			Key:      m.GetKey(),
+			Data:     m.GetData(),
+			Revision: m.GetRevision(),
+		})
+	}
+	return r.GetData(), records, err
 }
 
 // check pings the proxy, unless that was done just now. A connection without an answer is replaced.
--- a/link/server.go
+++ b/link/server.go
@@ -49,6 +49,9 @@
 
 	// TablesAbove returns the newest configuration if its version is higher.
 	TablesAbove(version uint64) (uint64, []byte)
+
+	// Records returns the newest records of holders that the process has read.
+	Records() []egret.Item
 }
 
 // Server answers other proxies.
@@ -158,8 +161,16 @@
 // Tables returns the newest configuration.
 func (s *Server) Tables(_ context.Context, r *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
 	version, data := s.Host.TablesAbove(r.GetAbove())
-	return &linkpb.TablesReply{
+	reply := &linkpb.TablesReply{
 		Version: version,
 		Data:    data,
-	}, nil
+	}
+	for _, item := range s.Host.Records() {
+		reply.Records = append(reply.Records, &linkpb.Record{
+			Key:      item.Key,
+			Revision: item.Revision,
+			Data:     item.Data,
+		})
+	}
+	return reply, nil
 }
