--- a/claim/claim.go
+++ b/claim/claim.go
@@ -72,6 +72,9 @@
 	// GaveUp reports whether the holder at the revision has said that it holds the service no longer.
 	GaveUp(revision uint64) bool
 
+	// Answers reports whether the process answers now.
+	Answers(ctx context.Context, r Record) bool
+
 	// Stopped reports whether the process is known to have ended.
 	Stopped(ctx context.Context, r Record) bool
 
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -57,6 +57,39 @@
 	w.await(t, "successor", extendLimit+5*time.Second, func(c *Claim) bool { return c != holder })
 }
 
+// TestHealedCutTakesNothing cuts a process off from the store and from the holder. When the cut heals,
+// the holder keeps its service.
+func TestHealedCutTakesNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 5)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	for range 3 {
+		w.change(func() {
+			for i := range 5 {
+				if name := nodeName(i); name != holder.Self.Node {
+					w.cutStore[name] = true
+					w.cutPeers[[2]string{holder.Self.Node, name}] = true
+				}
+			}
+		})
+		for began := time.Now(); time.Since(began) < 1700*time.Millisecond; {
+			w.valid(t)
+			time.Sleep(time.Millisecond)
+		}
+		w.change(func() {
+			clear(w.cutStore)
+			clear(w.cutPeers)
+		})
+		for began := time.Now(); time.Since(began) < time.Second; {
+			if c := w.valid(t); c != holder {
+				t.Fatalf("the holder lost the service %v after the cut had healed", time.Since(began))
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // TestDroppedRecordIsRestored takes the key away under a living holder.
 func TestDroppedRecordIsRestored(t *testing.T) {
 	t.Parallel()
--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -143,9 +143,16 @@
 	k.world.mu.Lock()
 	cut := k.world.cutStore[k.node]
 	k.world.mu.Unlock()
-	if cut {
-		<-ctx.Done()
-		return errCut
+	// A call waits on a way that is cut, and goes through if that heals in time.
+	for cut {
+		select {
+		case <-ctx.Done():
+			return errCut
+		case <-time.After(5 * time.Millisecond):
+		}
+		k.world.mu.Lock()
+		cut = k.world.cutStore[k.node]
+		k.world.mu.Unlock()
 	}
 	return nil
 }
@@ -235,6 +242,8 @@
 	return false
 }
 
+func (p *fakePeers) Answers(_ context.Context, r Record) bool { return p.reaches(r.Node) }
+
 func (p *fakePeers) Stopped(context.Context, Record) bool { return false }
 
 func (p *fakePeers) Voters() []Voter {
--- a/claim/take.go
+++ b/claim/take.go
@@ -19,6 +19,9 @@
 	// stopped says that the former holder is known to have stopped.
 	stopped bool
 
+	// silent says that the holder may live and only not be heard.
+	silent bool
+
 	// after is how long the cause must hold, before the head start of better placed processes.
 	after time.Duration
 
@@ -88,9 +91,10 @@
 	}
 	if silent := c.Peers.Silent(r); silent > silence {
 		return cause{
-			name:  "holder silent",
-			after: silence,
-			since: clock.Now().Add(-silent),
+			name:   "holder silent",
+			silent: true,
+			after:  silence,
+			since:  clock.Now().Add(-silent),
 		}
 	}
 	return cause{}
@@ -100,6 +104,9 @@
 func (c *Claim) take(ctx context.Context, w cause) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
+	if w.silent && !c.confirmSilence(ctx) {
+		return
+	}
 	c.mu.Lock()
 	before := c.seen
 	record := c.record()
@@ -153,6 +160,24 @@
 	}
 }
 
+// confirmSilence reports whether the store answers and the holder still doesn't. Without it, a process
+// that was cut off from both would take every service as soon as the cut has healed.
+func (c *Claim) confirmSilence(ctx context.Context) bool {
+	item, err := c.Keys.Read(ctx, c.key())
+	if err != nil {
+		c.pause(ctx, jitter(renewInterval))
+		return false
+	}
+	c.mu.Lock()
+	seen := c.seen
+	c.mu.Unlock()
+	if item.Revision != seen.Revision {
+		c.Observe(item)
+		return false
+	}
+	return !c.Peers.Answers(ctx, seen.Record)
+}
+
 func (c *Claim) settle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -94,6 +94,16 @@
 	return silent
 }
 
+// Answers reports whether the process answers now, here or to another proxy.
+func (f *Fleet) Answers(ctx context.Context, r claim.Record) bool {
+	reply, err := f.Pool.Probe(ctx, r.Address, listenInterval)
+	if err == nil && reply.GetIncarnation() == r.Incarnation {
+		return true
+	}
+	_, heard := f.detour(r.Address)
+	return heard
+}
+
 // Stopped reports whether another process answers at the address of the one in the record.
 func (f *Fleet) Stopped(ctx context.Context, r claim.Record) bool {
 	if !r.Address.IsValid() {
--- a/link/pool.go
+++ b/link/pool.go
@@ -206,6 +206,21 @@
 	return ask(ctx, p, a, PingTimeout, &linkpb.PingRequest{}, linkpb.LinkClient.Ping)
 }
 
+// Probe is a Ping on a new connection, unless the proxy has answered within the time. The old one may
+// wait to connect again, or have gone silent.
+func (p *Pool) Probe(ctx context.Context, a netip.AddrPort, within time.Duration) (*linkpb.PingReply, error) {
+	p.mu.Lock()
+	e := p.peers[a]
+	stale := e != nil && (e.asked != 0 || clock.Since(e.heard) > within)
+	conn := (*grpc.ClientConn)(nil)
+	if stale {
+		conn, e.conn = e.conn, nil
+	}
+	p.mu.Unlock()
+	closeConn(conn)
+	return p.Ping(ctx, a)
+}
+
 // Promise asks the proxy to acknowledge no successor of a holder for a time.
 func (p *Pool) Promise(ctx context.Context, a netip.AddrPort, service string, q claim.Promise) (bool, error) {
 	r, err := ask(ctx, p, a, PingTimeout, &linkpb.PromiseRequest{
