fleet: statements that nobody can run are refused at once

Ruled out: refusing as soon as a holder is silent, since a successor takes over within two seconds when the store answers.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -79,6 +80,9 @@
 	// run ends with Run.
 	run context.Context
 
+	// storeLost is since when the store gives no answer, as a clock.Time, or zero.
+	storeLost atomic.Int64
+
 	// mu guards all below. It comes after the mu of claims.
 	mu sync.Mutex
 
@@ -138,7 +142,13 @@
 		Prefix: keysPrefix,
 		Reset:  f.reset,
 		Change: f.change,
-		Trail:  f.Trail,
+		Lost: func() {
+			f.storeLost.Store(int64(clock.Now()))
+		},
+		Regained: func() {
+			f.storeLost.Store(0)
+		},
+		Trail: f.Trail,
 	}
 	g.Go(func() error { return w.Run(ctx) })
 	g.Go(func() error { return f.register(ctx) })
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -14,6 +14,10 @@
 	// reroutePause is the time before a statement is sent again that found no holder.
 	reroutePause = 20 * time.Millisecond
 
+	// hopelessAfter is for how long both a holder and the store have to be silent before statements
+	// are refused at once.
+	hopelessAfter = time.Second
+
 	// leastTime is the least time that a statement needs to be worth sending.
 	leastTime = 5 * time.Millisecond
 )
@@ -102,6 +106,9 @@
 		if left < leastTime || ctx.Err() != nil {
 			return r.refuse(w, last)
 		}
+		if cause := r.fleet.hopeless(w.Service); cause != "" {
+			return r.refuse(w, cause)
+		}
 		if !r.connect(r.find(w.Service)) {
 			if !r.passOn {
 				return answer(egret.FaultMoved, "this process doesn't hold the service", egret.TxIdle)
@@ -151,6 +158,28 @@
 	return answer(egret.FaultAborted, a.Fault.Text, status)
 }
 
+// hopeless says why nobody can run the service's statements in the next moments, or "". Without the
+// store, nobody can succeed a holder that is lost.
+func (f *Fleet) hopeless(service string) string {
+	lost := clock.Time(f.storeLost.Load())
+	c := f.Claim(service)
+	if lost == 0 || clock.Since(lost) < hopelessAfter || c == nil {
+		return ""
+	}
+	s, known := c.Seen()
+	if !known || s.Revision == 0 || s.Record.Node == f.Self.ID {
+		return ""
+	}
+	_, asked := f.Pool.Heard(s.Record.Address)
+	if asked == 0 || clock.Since(asked) < hopelessAfter {
+		return ""
+	}
+	if _, heard := f.detour(s.Record.Address); heard {
+		return ""
+	}
+	return "the holder of the service is lost, and the store gives no answer to replace it"
+}
+
 func (r *routed) inDoubt(w egret.Work, a egret.Answer) egret.Answer {
 	r.Close()
 	r.fleet.Trail.Event("outcome-unknown").Str("request", w.Query.ID).Str("service", w.Service).Str("cause", a.Fault.Text).Msg("the holder was lost after the statement was sent")
