--- /dev/null
+++ b/egretctl/explain.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// maxLogLine is the longest line of a log that is read, in bytes.
+	maxLogLine = 1 << 20
+
+	// storyBefore is how long before a request changes of its service are told: a failure often begins
+	// before the requests that it hits.
+	storyBefore = 3 * time.Second
+
+	// storyAfter is the same after the request's last line.
+	storyAfter = time.Second
+)
+
+// nodeEvents are what changes a whole process, and so each request on it.
+var nodeEvents = map[string]bool{
+	"process-started":        true,
+	"process-leaving":        true,
+	"process-stopped":        true,
+	"store-lost":             true,
+	"store-regained":         true,
+	"configuration-in-force": true,
+	"lines-dropped":          true,
+}
+
+// explainCommand tells the story of a request.
+func explainCommand() *cli.Command {
+	before, after := storyBefore, storyAfter
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "print a request's story from the logs of all proxies, in order",
+		ArgsUsage: "ID [FILE...]",
+		Description: "Reads log lines from the files, or from standard input if there are none. Prints the lines of the request,\n" +
+			"and what was decided about its service around it. Text before a line's opening brace is passed over.",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{
+				Name:        "before",
+				Usage:       "how long before the request its service's changes are told",
+				Value:       storyBefore,
+				Destination: &before,
+			},
+			&cli.DurationFlag{
+				Name:        "after",
+				Usage:       "the same after it",
+				Value:       storyAfter,
+				Destination: &after,
+			},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if !c.Args().Present() {
+				return usageError("explain takes the ID of a request")
+			}
+			lines, err := readLogs(c.Root().Reader, c.Args().Tail())
+			if err != nil {
+				return err
+			}
+			return explain(c.Root().Writer, lines, c.Args().First(), before, after)
+		},
+	}
+}
+
+// logLine is one line of a proxy's log.
+type logLine struct {
+	at     time.Time
+	node   string
+	event  string
+	fields map[string]any
+}
+
+// readLogs reads the files, or the reader if there are none.
+func readLogs(in io.Reader, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return readLog(in)
+	}
+	lines := []logLine{}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		more, err := readLog(f)
+		f.Close()
+		if err != nil {
+			return nil, errors.Annotate(err, name)
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
+// readLog reads lines. Those that are no log lines are passed over.
+func readLog(in io.Reader) ([]logLine, error) {
+	lines := []logLine{}
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		if l, ok := parseLogLine(s.Text()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Trace(s.Err())
+}
+
+func parseLogLine(text string) (logLine, bool) {
+	i := strings.IndexByte(text, '{')
+	if i < 0 {
+		return logLine{}, false
+	}
+	fields := map[string]any{}
+	if json.Unmarshal([]byte(text[i:]), &fields) != nil {
+		return logLine{}, false
+	}
+	l := logLine{
+		fields: fields,
+	}
+	l.node, _ = fields["node"].(string)
+	l.event, _ = fields["event"].(string)
+	stamp, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil || l.event == "" {
+		return logLine{}, false
+	}
+	l.at = at
+	return l, true
+}
+
+// explain prints the story of the request with the ID.
+func explain(out io.Writer, lines []logLine, id string, before, after time.Duration) error {
+	first, last := time.Time{}, time.Time{}
+	services, nodes := map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.fields["request"] != id {
+			continue
+		}
+		nodes[l.node] = true
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+		if s, ok := l.fields["service"].(string); ok {
+			services[s] = true
+		}
+	}
+	if first.IsZero() {
+		return errors.NotFoundf("request %s in the logs (successful ones are sampled, and lines over the rate are dropped)", id)
+	}
+	story := []logLine{}
+	for _, l := range lines {
+		service, _ := l.fields["service"].(string)
+		_, other := l.fields["request"]
+		around := l.at.After(first.Add(-before)) && l.at.Before(last.Add(after))
+		related := services[service] || nodes[l.node] && nodeEvents[l.event]
+		if l.fields["request"] == id || !other && around && related {
+			story = append(story, l)
+		}
+	}
+	slices.SortStableFunc(story, func(a, b logLine) int { return a.at.Compare(b.at) })
+	for _, l := range story {
+		mark := " "
+		if l.fields["request"] == id {
+			mark = "*"
+		}
+		fmt.Fprintf(out, "%s %+9.3fs  %-20s %-22s %s\n", mark, l.at.Sub(first).Seconds(), l.node, l.event, l.describe())
+	}
+	return nil
+}
+
+// describe returns the line's other fields in the order of their names.
+func (l *logLine) describe() string {
+	parts := []string{}
+	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
+		value := l.fields[name]
+		switch name {
+		case "time", "node", "event", "level", "message", "request":
+			continue
+		}
+		if value == nil || value == "" {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s=%v", name, value))
+	}
+	message, _ := l.fields["message"].(string)
+	return message + " (" + strings.Join(parts, " ") + ")"
+}
--- a/egretctl/main.go
+++ b/egretctl/main.go
@@ -99,6 +99,7 @@
 			editCommand(),
 			historyCommand(),
 			statusCommand(),
+			explainCommand(),
 		},
 	}
 }
--- a/front/session.go
+++ b/front/session.go
@@ -356,10 +356,12 @@
 	}
 }
 
-// log writes each failed statement and some of the others.
+// log writes each failed or late statement and some of the others.
 func (e *session) log(q *egret.Query, r *egret.Route, w *egret.Work, a *egret.Answer, elapsed time.Duration) {
 	event := "statement-failed"
-	if a.Fault.Kind == egret.FaultNone {
+	if a.Fault.Kind == egret.FaultNone && r.Target > 0 && elapsed > r.Target {
+		event = "statement-late"
+	} else if a.Fault.Kind == egret.FaultNone {
 		e.count++
 		if e.count%sampleRate != 1 {
 			return
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// defaultRate is how many lines a second one cause may write: enough to follow a failure, and a
-	// small part of a small VM's processor if several causes use it up.
-	defaultRate = 20
+	// defaultRate is how many lines a second one cause may write: above the statements that a small VM
+	// takes in a second, so that each failed one has its line.
+	defaultRate = 100
 
 	// summaryInterval is how often dropped lines are summed up.
 	summaryInterval = time.Second
