--- a/egretctl/explain.go
+++ b/egretctl/explain.go
@@ -95,7 +95,9 @@
 			return nil, errors.Trace(err)
 		}
 		more, err := readLog(f)
-		f.Close()
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
 		if err != nil {
 			return nil, errors.Annotate(err, name)
 		}
@@ -160,7 +162,10 @@
 		}
 	}
 	if first.IsZero() {
-		return errors.NotFoundf("request %s in the logs (successful ones are sampled, and lines over the rate are dropped)", id)
+		return &exitError{
+			status: exitFailed,
+			err:    errors.Errorf("no line about request %s: successful ones are sampled, and lines over the rate are dropped", id),
+		}
 	}
 	story := []logLine{}
 	for _, l := range lines {
