--- a/claim/claim.go
+++ b/claim/claim.go
@@ -40,6 +40,9 @@
 	// writes it at once.
 	absence = 700 * time.Millisecond
 
+	// succession is how long the named successor of a released service goes before all others.
+	succession = 300 * time.Millisecond
+
 	// rankStep is the head start that a better placed process has before the next.
 	rankStep = 150 * time.Millisecond
 
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// TestReleaseNamesItsSuccessor releases a service to the process that is placed worst.
+func TestReleaseNamesItsSuccessor(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 5)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	holder.Leave()
+	began := time.Now()
+	holder.Release(t.Context(), nodeName(4))
+	w.await(t, "successor", 5*time.Second, func(c *Claim) bool { return c.Self.Node == nodeName(4) })
+	if elapsed := time.Since(began); elapsed > 250*time.Millisecond {
+		t.Errorf("the successor began after %v", elapsed)
+	}
+}
+
 // TestDroppedRecordIsRestored takes the key away under a living holder.
 func TestDroppedRecordIsRestored(t *testing.T) {
 	t.Parallel()
--- a/claim/take.go
+++ b/claim/take.go
@@ -60,12 +60,16 @@
 	case !known || leaving:
 		return cause{}
 	case seen.Revision != 0 && r.Released:
-		return cause{
+		w := cause{
 			name:    "released",
 			stopped: true,
 			first:   r.Successor == c.Self.Node,
 			since:   changed,
 		}
+		if r.Successor != "" && !w.first {
+			w.after = succession
+		}
+		return w
 	case seen.Revision != 0 && r.Address == c.Self.Address:
 		// No two processes listen at one address, so the one in the record has ended, or it is this
 		// one, which has ended its holding.
--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -29,7 +29,7 @@
 		wg.Go(func() {
 			l.Drain(laneTime)
 			if c := n.fleet.Claim(l.Service); c != nil {
-				c.Release(context.Background(), "")
+				c.Release(context.Background(), n.fleet.Successor(l.Service))
 			}
 		})
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,7 +106,9 @@
 	// movedAt is when a process was asked last whether it has given up a service.
 	movedAt map[netip.AddrPort]clock.Time
 
+	// leaving says that the process shuts down; left is closed then.
 	leaving bool
+	left    chan struct{}
 }
 
 // detour is a proxy that hears another one.
@@ -118,6 +120,7 @@
 
 // Init prepares the fleet. It is called once, before any other method.
 func (f *Fleet) Init() {
+	f.left = make(chan struct{})
 	f.nodes = map[string]Node{}
 	f.claims = map[string]*claim.Claim{}
 	f.lanes = map[string]*group.Lane{}
@@ -351,7 +354,7 @@
 		return err
 	}
 	lease := egret.LeaseID(0)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.Leaving() {
 		pause := renewInterval
 		if lease != 0 {
 			err = f.Keys.Renew(ctx, lease)
@@ -364,6 +367,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-f.left:
 		case <-time.After(pause):
 		}
 	}
@@ -403,9 +407,13 @@
 	return lease, nil
 }
 
-// Leave keeps this process from taking services.
+// Leave keeps this process from taking services, and takes back its registration, so that nobody names
+// it as a successor.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
+	if !f.leaving {
+		close(f.left)
+	}
 	f.leaving = true
 	f.mu.Unlock()
 	for _, c := range f.allClaims() {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -35,16 +36,31 @@
 	detourAge = 700 * time.Millisecond
 )
 
-// Rank returns how many live processes are better placed to hold the service: those that hold fewer
-// services, then those near its primary, then by a hash that differs for each service.
+// Rank returns how many live processes are better placed to hold the service.
 func (f *Fleet) Rank(service string) int {
-	domain, region := f.Home(service)
-	f.mu.Lock()
-	nodes := []Node{}
-	for _, n := range f.nodes {
-		nodes = append(nodes, n)
+	for i, n := range f.candidates(service) {
+		if n.ID == f.Self.ID {
+			return i
+		}
 	}
-	f.mu.Unlock()
+	return 0
+}
+
+// Successor returns the process that is placed best to hold a service that this one leaves, or "".
+func (f *Fleet) Successor(service string) string {
+	for _, n := range f.candidates(service) {
+		if n.ID != f.Self.ID {
+			return n.ID
+		}
+	}
+	return ""
+}
+
+// candidates returns the processes that may succeed the holder of the service, the best placed first:
+// those that hold fewer services, then those near its primary, then by a hash that differs for each
+// service.
+func (f *Fleet) candidates(service string) []Node {
+	domain, region := f.Home(service)
 	held := map[string]int{}
 	holder := ""
 	for _, c := range f.allClaims() {
@@ -68,14 +84,17 @@
 		}
 		return s + xxhash.Sum64String(service+" "+n.ID)>>8
 	}
-	own := score(f.Self)
-	rank := 0
-	for _, n := range nodes {
-		if n.ID != f.Self.ID && n.ID != holder && score(n) < own {
-			rank++
+	nodes := []Node{}
+	f.mu.Lock()
+	for _, n := range f.nodes {
+		if n.ID != holder && n.ID != f.Self.ID {
+			nodes = append(nodes, n)
 		}
 	}
-	return rank
+	f.mu.Unlock()
+	nodes = append(nodes, f.Self)
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(score(a), score(b)) })
+	return nodes
 }
 
 // Silent returns for how long the process has not answered, or zero if another proxy hears it.
