watch, fleet: few processes ask the store for changes, the others ask them

Four processes do so now in fleets above twelve; the others ask these every 250 ms, and those that the store turns away do so too, which replaces the pulls of configuration and records.

--- a/egretlane/directory.go
+++ b/egretlane/directory.go
@@ -26,64 +26,51 @@
 	// tables is the configuration in force. Its version never falls.
 	tables atomic.Pointer[egret.Tables]
 
-	// lost says that the store gives no answer about the configuration.
-	lost atomic.Bool
+	// operatorKeys follows what the operator writes.
+	operatorKeys *watch.Watch
 
 	// needed wakes the watch of members.
 	needed chan struct{}
 
 	mu sync.Mutex
 
-	// raw is the configuration as the operator wrote it.
-	raw []byte
-
 	members map[string]egret.Backend
 }
 
 func newDirectory(keys egret.Keyspace, t *trail.Trail) *directory {
-	return &directory{
+	d := &directory{
 		keys:    keys,
 		trail:   t,
 		needed:  make(chan struct{}, 1),
 		members: map[string]egret.Backend{},
 	}
-}
-
-// watchTables follows the operator's configuration.
-func (d *directory) watchTables(ctx context.Context) error {
-	w := watch.Watch{
-		Keys:   d.keys,
+	d.operatorKeys = &watch.Watch{
+		Keys:   keys,
 		Prefix: platform.OperatorPrefix,
 		Reset: func(items []egret.Item) {
 			for _, item := range items {
 				d.operator(item)
 			}
 		},
-		Change:   d.operator,
-		Lost:     func() { d.lost.Store(true) },
-		Regained: func() { d.lost.Store(false) },
-		Trail:    d.trail,
+		Change:     d.operator,
+		RelayStart: true,
+		Trail:      t,
 	}
-	return w.Run(ctx)
-}
-
-// cutOff reports whether the store gives no answer about the configuration.
-func (d *directory) cutOff() bool {
-	return d.lost.Load()
+	return d
 }
 
 // operator takes a key that the operator wrote.
 func (d *directory) operator(item egret.Item) {
 	if item.Key == platform.ConfigKey && !item.Removed {
-		d.take(item.Data, "store")
+		d.take(item.Data)
 	}
 }
 
 // take puts a configuration in force if it is newer than the one that is.
-func (d *directory) take(data []byte, source string) {
+func (d *directory) take(data []byte) {
 	t, err := platform.DecodeTables(data)
 	if t == nil {
-		d.trail.Event("configuration-refused").Str("source", source).Err(err).Msg("the configuration can't be read; the one in force stays")
+		d.trail.Event("configuration-refused").Err(err).Msg("the configuration can't be read; the one in force stays")
 		return
 	}
 	d.mu.Lock()
@@ -93,28 +80,16 @@
 		return
 	}
 	d.tables.Store(t)
-	d.raw = data
 	d.mu.Unlock()
 	before := uint64(0)
 	if now != nil {
 		before = now.Revision
 	}
-	d.trail.Event("configuration-in-force").Str("source", source).Uint64("version", t.Revision).Uint64("before", before).
+	d.trail.Event("configuration-in-force").Uint64("version", t.Revision).Uint64("before", before).
 		Int("routes", len(t.Routes)).Int("services", len(t.Pools)).Err(err).Msg("a newer configuration is in force")
 	d.configured(t)
 }
 
-// above returns the configuration in force if its version is higher.
-func (d *directory) above(version uint64) (uint64, []byte) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t := d.tables.Load()
-	if t == nil || t.Revision <= version {
-		return 0, nil
-	}
-	return t.Revision, d.raw
-}
-
 // watchMembers follows the members while they are needed, which held tells.
 func (d *directory) watchMembers(ctx context.Context, held func() bool) error {
 	w := watch.Watch{
--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -7,6 +7,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/claim"
+	"egretlane.example/egret/platform"
 )
 
 // With the methods below the node answers other proxies.
@@ -48,10 +49,10 @@
 	return found && n.dialer.Reachable(ctx, b) == nil
 }
 
-// TablesAbove returns the configuration in force if its version is higher.
-func (n *node) TablesAbove(version uint64) (uint64, []byte) {
-	return n.directory.above(version)
+// Changes returns what the process has seen in the store after the revision.
+func (n *node) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
+	if prefix == platform.OperatorPrefix {
+		return n.directory.operatorKeys.Changes(after)
+	}
+	return n.fleet.Changes(prefix, after)
 }
-
-// Records returns the newest records of holders that the process has read.
-func (n *node) Records() []egret.Item { return n.fleet.Records() }
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -32,10 +32,6 @@
 
 	// descriptorReserve is how many descriptors are kept for files, members, proxies and the store.
 	descriptorReserve = 700
-
-	// pullInterval is how often another proxy is asked for what has changed while the store gives no
-	// answer.
-	pullInterval = 400 * time.Millisecond
 )
 
 // node is a proxy process of a fleet.
@@ -89,6 +85,8 @@
 		Trail:     t,
 	}
 	n.fleet.Init()
+	n.directory.operatorKeys.Relay = n.fleet.Relay
+	n.directory.operatorKeys.Direct = n.fleet.Direct
 	n.directory.configured = n.configured
 	n.directory.changed = n.changed
 	n.front = &front.Server{
@@ -135,9 +133,8 @@
 	}
 	g.Go(func() error { return n.trail.Run(work) })
 	g.Go(func() error { return n.fleet.Run(work) })
-	g.Go(func() error { return n.directory.watchTables(work) })
+	g.Go(func() error { return n.directory.operatorKeys.Run(work) })
 	g.Go(func() error { return n.directory.watchMembers(work, func() bool { return len(n.fleet.Lanes()) > 0 }) })
-	g.Go(func() error { return n.pullTables(work) })
 	g.Go(func() error { return n.front.Serve(work, callers) })
 	select {
 	case <-ctx.Done():
@@ -178,36 +175,6 @@
 	return s.Serve(l)
 }
 
-// pullTables asks another proxy for a newer configuration and for the holders of services, while the
-// store gives this one no answer.
-func (n *node) pullTables(ctx context.Context) error {
-	tick := time.NewTicker(pullInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-		peer, found := n.fleet.Another()
-		if !found || !n.directory.cutOff() {
-			continue
-		}
-		version := uint64(0)
-		if t := n.directory.tables.Load(); t != nil {
-			version = t.Revision
-		}
-		data, records, err := n.pool.Tables(ctx, peer.Address, version)
-		if err != nil {
-			continue
-		}
-		n.fleet.Learn(records)
-		if len(data) > 0 {
-			n.directory.take(data, peer.ID)
-		}
-	}
-}
-
 // ready reports whether the process takes callers.
 func (n *node) ready() bool {
 	return !n.leaving.Load() && n.directory.tables.Load() != nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,9 @@
 	// run ends with Run.
 	run context.Context
 
+	// watch follows the fleet's keys.
+	watch *watch.Watch
+
 	// storeLost is since when the store gives no answer, as a clock.Time, or zero.
 	storeLost atomic.Int64
 
@@ -139,12 +142,13 @@
 	for _, c := range f.claims {
 		f.start(c)
 	}
-	f.mu.Unlock()
-	w := watch.Watch{
+	f.watch = &watch.Watch{
 		Keys:   f.Keys,
 		Prefix: keysPrefix,
 		Reset:  f.reset,
 		Change: f.change,
+		Relay:  f.Relay,
+		Direct: f.Direct,
 		Lost: func() {
 			f.storeLost.Store(int64(clock.Now()))
 		},
@@ -153,7 +157,8 @@
 		},
 		Trail: f.Trail,
 	}
-	g.Go(func() error { return w.Run(ctx) })
+	f.mu.Unlock()
+	g.Go(func() error { return f.watch.Run(ctx) })
 	g.Go(func() error { return f.register(ctx) })
 	g.Go(func() error { return f.listen(ctx) })
 	return g.Wait()
@@ -291,40 +296,6 @@
 	}
 }
 
-// Records returns the newest records of holders that were read.
-func (f *Fleet) Records() []egret.Item {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	items := []egret.Item{}
-	for _, item := range f.records {
-		if item.Revision != 0 && !item.Removed {
-			items = append(items, item)
-		}
-	}
-	return items
-}
-
-// Learn takes records that another proxy has read. They may be old, so only newer ones than those that
-// this process has read itself count.
-func (f *Fleet) Learn(records []egret.Item) {
-	for _, item := range records {
-		service, found := strings.CutPrefix(item.Key, claim.Prefix)
-		c := f.Claim(service)
-		if !found || c == nil {
-			continue
-		}
-		if _, known := c.Seen(); !known {
-			continue
-		}
-		c.Observe(item)
-		f.mu.Lock()
-		if item.Revision > f.records[service].Revision {
-			f.records[service] = item
-		}
-		f.mu.Unlock()
-	}
-}
-
 // changeNode takes a registration.
 func (f *Fleet) changeNode(id string, item egret.Item) {
 	n := Node{}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,17 +103,30 @@
 	}
 }
 
-// TestRecordsOfOthersOnlyAddNewer learns an older and a newer record.
-func TestRecordsOfOthersOnlyAddNewer(t *testing.T) {
-	f := newFleet(t, closedPort)
-	for revision, want := range map[uint64]uint64{4: 5, 6: 6} {
-		data, err := json.Marshal(claim.Record{Node: "third", Incarnation: "1", Address: closedPort})
+// TestObserversAreFewAndAgreed compares the observers that two processes choose.
+func TestObserversAreFewAndAgreed(t *testing.T) {
+	f, g := newFleet(t, closedPort), newFleet(t, closedPort)
+	direct := 0
+	for i := range 40 {
+		id := string(rune('A' + i))
+		data, err := json.Marshal(Node{ID: id})
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.Learn([]egret.Item{{Key: claim.Prefix + "s", Data: data, Revision: revision}})
-		if s, _ := f.Claim("s").Seen(); s.Revision < want {
-			t.Errorf("after a record at %d the newest is %d, want %d", revision, s.Revision, want)
+		item := egret.Item{Key: nodesPrefix + id, Data: data, Revision: 9}
+		f.change(item)
+		g.change(item)
+	}
+	if !slices.Equal(f.observers(), g.observers()) {
+		t.Errorf("%v and %v", f.observers(), g.observers())
+	}
+	for _, n := range f.observers() {
+		f.Self = n
+		if f.Direct() {
+			direct++
 		}
 	}
+	if direct != observers {
+		t.Errorf("%d observers", direct)
+	}
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -183,22 +183,6 @@
 	}
 }
 
-// Another returns one of the other processes, drawn at random.
-func (f *Fleet) Another() (Node, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	others := []Node{}
-	for _, n := range f.nodes {
-		if n.ID != f.Self.ID {
-			others = append(others, n)
-		}
-	}
-	if len(others) == 0 {
-		return Node{}, false
-	}
-	return others[rand.IntN(len(others))], true
-}
-
 // Hear asks the proxy at the address for its incarnation.
 func (f *Fleet) Hear(ctx context.Context, a netip.AddrPort) (string, error) {
 	reply, err := f.Pool.Ping(ctx, a)
--- a/link/pool.go
+++ b/link/pool.go
@@ -263,21 +263,26 @@
 	return r.GetReached(), err
 }
 
-// Tables asks the proxy for a configuration above the version, and for the records of holders. It
-// returns no data if there is no newer configuration.
-func (p *Pool) Tables(ctx context.Context, a netip.AddrPort, above uint64) ([]byte, []egret.Item, error) {
-	r, err := ask(ctx, p, a, 2*PingTimeout, &linkpb.TablesRequest{
-		Above: above,
-	}, linkpb.LinkClient.Tables)
-	records := []egret.Item{}
-	for _, m := range r.GetRecords() {
-		records = append(records, egret.Item{
+// Changes asks the proxy for what it has seen in the store after the revision. It reports false if the
+// proxy doesn't know.
+func (p *Pool) Changes(ctx context.Context, a netip.AddrPort, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+	r, err := ask(ctx, p, a, 2*PingTimeout, &linkpb.ChangesRequest{
+		Prefix: prefix,
+		After:  after,
+	}, linkpb.LinkClient.Changes)
+	if err != nil || !r.GetFresh() {
+		return nil, 0, false
+	}
+	items := []egret.Item{}
+	for _, m := range r.GetItems() {
+		items = append(items, egret.Item{
 			Key:      m.GetKey(),
 			Data:     m.GetData(),
 			Revision: m.GetRevision(),
+			Removed:  m.GetRemoved(),
 		})
 	}
-	return r.GetData(), records, err
+	return items, r.GetAt(), true
 }
 
 // check pings the proxy, unless that was done just now. A connection without an answer is replaced.
--- a/link/server.go
+++ b/link/server.go
@@ -47,11 +47,8 @@
 	// Reach reports whether the process can connect to the member.
 	Reach(ctx context.Context, member string) bool
 
-	// TablesAbove returns the newest configuration if its version is higher.
-	TablesAbove(version uint64) (uint64, []byte)
-
-	// Records returns the newest records of holders that the process has read.
-	Records() []egret.Item
+	// Changes returns what the process has seen in the store after the revision, or reports false.
+	Changes(prefix string, after uint64) ([]egret.Item, uint64, bool)
 }
 
 // Server answers other proxies.
@@ -158,18 +155,19 @@
 	}, nil
 }
 
-// Tables returns the newest configuration.
-func (s *Server) Tables(_ context.Context, r *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
-	version, data := s.Host.TablesAbove(r.GetAbove())
-	reply := &linkpb.TablesReply{
-		Version: version,
-		Data:    data,
+// Changes returns what the process has seen in the store.
+func (s *Server) Changes(_ context.Context, r *linkpb.ChangesRequest) (*linkpb.ChangesReply, error) {
+	items, at, fresh := s.Host.Changes(r.GetPrefix(), r.GetAfter())
+	reply := &linkpb.ChangesReply{
+		Fresh: fresh,
+		At:    at,
 	}
-	for _, item := range s.Host.Records() {
-		reply.Records = append(reply.Records, &linkpb.Record{
+	for _, item := range items {
+		reply.Items = append(reply.Items, &linkpb.Item{
 			Key:      item.Key,
 			Revision: item.Revision,
 			Data:     item.Data,
+			Removed:  item.Removed,
 		})
 	}
 	return reply, nil
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +26,10 @@
 	// after it, so it stays below the time in which a configuration has to be in force.
 	wait = 3 * time.Second
 
+	// relayInterval is how often another process is asked for changes. A configuration has to be in
+	// force within seconds, and the questions cost the platform nothing.
+	relayInterval = 250 * time.Millisecond
+
 	// firstPause and maxPause bound the pauses after failed calls.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 600 * time.Millisecond
@@ -44,14 +49,29 @@
 	// Change takes one item that changed or was removed.
 	Change func(item egret.Item)
 
+	// Relay asks another process for changes after a revision, and reports false if it doesn't know.
+	// It may be nil.
+	Relay func(ctx context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool)
+
+	// Direct reports whether this process should ask the store itself, though others could tell it.
+	// Nil stands for always.
+	Direct func() bool
+
+	// RelayStart lets the process begin with what others have seen, if the store gives no answer.
+	RelayStart bool
+
 	// Lost is called when calls begin to fail, and Regained when they succeed again. They may be nil.
 	Lost, Regained func()
 
 	// Trail writes decisions. It may be nil.
 	Trail *trail.Trail
 
-	failing bool
+	// pause is that after the last failed call. failing says that calls to the store fail.
 	pause   time.Duration
+	failing atomic.Bool
+
+	// log is what was seen, for other processes.
+	log log
 }
 
 // Run follows the keys until the context ends.
@@ -59,18 +79,36 @@
 	for ctx.Err() == nil {
 		items, at, err := w.Keys.List(ctx, w.Prefix)
 		if w.failed(ctx, err) {
+			if w.RelayStart {
+				w.follow(ctx, 0)
+			}
 			continue
 		}
 		w.Trail.Event("keys-listed").Str("prefix", w.Prefix).Int("items", len(items)).Uint64("revision", at).Msg("read all keys")
+		w.log.reset(items, at)
 		w.Reset(items)
 		w.follow(ctx, at)
 	}
 	return nil
 }
 
-// follow hands on changes until the history has a gap.
+// follow hands on changes until the history has a gap. It ends at once after revision zero if no other
+// process knows more.
 func (w *Watch) follow(ctx context.Context, at uint64) {
 	for ctx.Err() == nil {
+		direct := w.Direct == nil || w.Direct()
+		if w.Relay != nil && (!direct || w.failing.Load()) {
+			if items, next, ok := w.Relay(ctx, w.Prefix, at); ok {
+				at = w.take(items, max(at, next), false)
+				if !direct {
+					pause(ctx, relayInterval)
+					continue
+				}
+			}
+		}
+		if at == 0 {
+			return
+		}
 		items, next, err := w.Keys.Changes(ctx, w.Prefix, at, wait)
 		if errors.Is(err, egret.ErrHistoryGone) {
 			w.Trail.Event("history-gone").Str("prefix", w.Prefix).Uint64("after", at).Msg("the store has dropped changes")
@@ -79,40 +117,58 @@
 		if w.failed(ctx, err) {
 			continue
 		}
-		for _, item := range items {
-			w.Change(item)
-		}
-		at = next
+		at = w.take(items, next, true)
 	}
 }
 
+// take hands changes on and returns the revision to go on from. own says that the store itself told
+// them.
+func (w *Watch) take(items []egret.Item, at uint64, own bool) uint64 {
+	w.log.add(items, at, own)
+	for _, item := range items {
+		w.Change(item)
+	}
+	return at
+}
+
+// Changes returns what was seen after the revision, and up to which revision that is all. It reports
+// false if this process doesn't hear the store itself, or doesn't know that far back.
+func (w *Watch) Changes(after uint64) ([]egret.Item, uint64, bool) {
+	if w.failing.Load() {
+		return nil, 0, false
+	}
+	return w.log.after(after)
+}
+
 // failed reports whether the call failed, and pauses then.
 func (w *Watch) failed(ctx context.Context, err error) bool {
 	if err == nil {
-		if w.failing {
+		if w.failing.Swap(false) {
 			w.Trail.Event("store-regained").Str("prefix", w.Prefix).Msg("the store answers again")
 			if w.Regained != nil {
 				w.Regained()
 			}
 		}
-		w.failing = false
 		w.pause = 0
 		return false
 	}
 	if ctx.Err() != nil {
 		return true
 	}
-	if !w.failing {
+	if !w.failing.Swap(true) {
 		w.Trail.Event("store-lost").Str("prefix", w.Prefix).Err(err).Msg("the store gives no answer")
 		if w.Lost != nil {
 			w.Lost()
 		}
 	}
-	w.failing = true
 	w.pause = min(max(firstPause, 2*w.pause), maxPause)
+	pause(ctx, w.pause/2+rand.N(w.pause))
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(w.pause/2 + rand.N(w.pause)):
+	case <-time.After(d):
 	}
-	return true
 }
