--- a/egretlane/directory.go
+++ b/egretlane/directory.go
@@ -209,14 +209,6 @@
 	return members
 }
 
-// member returns the member with the ID.
-func (d *directory) member(id string) (egret.Backend, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b, found := d.members[id]
-	return b, found
-}
-
 // home returns the failure domain of a service's primary, as its entry said when it was read.
 func (d *directory) home(service string) string {
 	for _, b := range d.of(service) {
--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -40,15 +40,6 @@
 	return n.fleet.Hear(ctx, a)
 }
 
-// Raise takes a commit of a predecessor.
-func (n *node) Raise(string, uint64, egret.Position, bool) bool { return false }
-
-// Reach reports whether the process can connect to the member.
-func (n *node) Reach(ctx context.Context, member string) bool {
-	b, found := n.directory.member(member)
-	return found && n.dialer.Reachable(ctx, b) == nil
-}
-
 // Changes returns what the process has seen in the store after the revision.
 func (n *node) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
 	if prefix == platform.OperatorPrefix {
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -206,13 +206,12 @@
 // hold starts the lane of a service that this process now holds.
 func (n *node) hold(c *claim.Claim) *group.Lane {
 	l := &group.Lane{
-		Service:   c.Service,
-		Dialer:    n.dialer,
-		Promoter:  n.promoter,
-		Holding:   c,
-		ReachedBy: nil,
-		Trail:     n.trail,
-		Counts:    n.meters,
+		Service:  c.Service,
+		Dialer:   n.dialer,
+		Promoter: n.promoter,
+		Holding:  c,
+		Trail:    n.trail,
+		Counts:   n.meters,
 	}
 	l.Init()
 	if p := n.directory.tables.Load().Pool(c.Service); p != nil {
--- a/group/lane.go
+++ b/group/lane.go
@@ -57,9 +57,6 @@
 	// Holding is the right to use the primary. Nothing is sent to any member without it.
 	Holding egret.Holding
 
-	// ReachedBy asks other proxies whether they reach a member. It may be nil.
-	ReachedBy func(ctx context.Context, b egret.Backend) bool
-
 	// Trail writes decisions. It may be nil.
 	Trail *trail.Trail
 
--- a/group/lead.go
+++ b/group/lead.go
@@ -50,26 +50,12 @@
 	case !led:
 		l.find(ctx)
 	case primary == nil || lost:
-		if primary != nil && l.reachedElsewhere(ctx, primary) {
-			return
-		}
 		l.replace(ctx, "the primary can't be reached")
 	case leaving:
 		l.hand(ctx)
 	}
 }
 
-// reachedElsewhere reports whether another proxy reaches the primary, so that it is not dead.
-func (l *Lane) reachedElsewhere(ctx context.Context, m *member) bool {
-	if l.ReachedBy == nil {
-		return false
-	}
-	l.mu.Lock()
-	b := m.backend
-	l.mu.Unlock()
-	return l.ReachedBy(ctx, b)
-}
-
 // find looks for the primary after the service was taken over.
 func (l *Lane) find(ctx context.Context) {
 	began := clock.Now()
--- a/link/pool.go
+++ b/link/pool.go
@@ -255,14 +255,6 @@
 	return r.GetHeard(), r.GetIncarnation(), err
 }
 
-// Reach asks the proxy whether it can connect to a member.
-func (p *Pool) Reach(ctx context.Context, a netip.AddrPort, member string) (bool, error) {
-	r, err := ask(ctx, p, a, 2*PingTimeout, &linkpb.ReachRequest{
-		Member: member,
-	}, linkpb.LinkClient.Reach)
-	return r.GetReached(), err
-}
-
 // Changes asks the proxy for what it has seen in the store after the revision. It reports false if the
 // proxy doesn't know.
 func (p *Pool) Changes(ctx context.Context, a netip.AddrPort, prefix string, after uint64) ([]egret.Item, uint64, bool) {
--- a/link/server.go
+++ b/link/server.go
@@ -38,15 +38,9 @@
 	// Clear bars promises to holders before the revision, and returns how long one is still in force.
 	Clear(service string, revision uint64) (time.Duration, claim.Intent)
 
-	// Raise takes a commit of a predecessor. last says that it was the predecessor's last.
-	Raise(service string, term uint64, p egret.Position, last bool) bool
-
 	// Hear asks the proxy at the address for its incarnation.
 	Hear(ctx context.Context, a netip.AddrPort) (string, error)
 
-	// Reach reports whether the process can connect to the member.
-	Reach(ctx context.Context, member string) bool
-
 	// Changes returns what the process has seen in the store after the revision, or reports false.
 	Changes(prefix string, after uint64) ([]egret.Item, uint64, bool)
 }
@@ -128,13 +122,6 @@
 	}, nil
 }
 
-// Raise takes a commit of a predecessor.
-func (s *Server) Raise(_ context.Context, r *linkpb.RaiseRequest) (*linkpb.RaiseReply, error) {
-	return &linkpb.RaiseReply{
-		Accepted: s.Host.Raise(r.GetService(), r.GetTerm(), positionFromWire(r.GetPosition()), r.GetLast()),
-	}, nil
-}
-
 // Hear asks another proxy for its incarnation.
 func (s *Server) Hear(ctx context.Context, r *linkpb.HearRequest) (*linkpb.HearReply, error) {
 	a, err := netip.ParseAddrPort(r.GetAddress())
@@ -148,13 +135,6 @@
 	}, nil
 }
 
-// Reach says whether the process can connect to a member.
-func (s *Server) Reach(ctx context.Context, r *linkpb.ReachRequest) (*linkpb.ReachReply, error) {
-	return &linkpb.ReachReply{
-		Reached: s.Host.Reach(ctx, r.GetMember()),
-	}, nil
-}
-
 // Changes returns what the process has seen in the store.
 func (s *Server) Changes(_ context.Context, r *linkpb.ChangesRequest) (*linkpb.ChangesReply, error) {
 	items, at, fresh := s.Host.Changes(r.GetPrefix(), r.GetAfter())
