front: what runs is not cut at the end of a shutdown

It now rests sessions first, then takes no connections, and lets what runs end until 0.6 s before the grace is over. TestDrainNeverCutsWhatRuns.

--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -138,8 +138,7 @@
 	g.Go(func() error { return n.front.Serve(work, callers) })
 	select {
 	case <-ctx.Done():
-		n.shutDown()
-		closeListener(callers)
+		n.shutDown(callers)
 		end()
 		rpc.Stop()
 		closeListener(ready)
--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
+
+	"egretlane.example/egret/front"
 )
 
 const (
@@ -11,15 +14,19 @@
 	// said that it isn't ready: two questions, a second apart, and some.
 	rotationTime = 2200 * time.Millisecond
 
-	// transactionTime is how long sessions have to come to rest.
-	transactionTime = 1500 * time.Millisecond
+	// restLimit is how long sessions have to come to rest, so that no statement is on its way to them
+	// when they end.
+	restLimit = 1200 * time.Millisecond
+
+	// exitTime is what is left of the grace when the process ends whatever still runs.
+	exitTime = 600 * time.Millisecond
 
 	// laneTime is how long transactions on a lane have to end before its service is released.
 	laneTime = 500 * time.Millisecond
 )
 
 // shutDown leaves the fleet: the services go to others, and the sessions end when they rest.
-func (n *node) shutDown() {
+func (n *node) shutDown(callers net.Listener) {
 	began := time.Now()
 	n.leaving.Store(true)
 	n.trail.Event("process-leaving").Int("services", len(n.fleet.Lanes())).Msg("the process was told to stop")
@@ -35,6 +42,9 @@
 	}
 	wg.Wait()
 	time.Sleep(rotationTime - time.Since(began))
-	left := n.front.Drain(min(transactionTime, time.Duration(n.settings.ShutdownGrace)-time.Since(began)))
+	n.front.Drain(front.RestTime, restLimit)
+	// Callers that are sent here nevertheless are refused now and go elsewhere; what runs gets its answer.
+	closeListener(callers)
+	left := n.front.Drain(0, time.Duration(n.settings.ShutdownGrace)-exitTime-time.Since(began))
 	n.trail.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(began)).Msg("the sessions were ended")
 }
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -34,7 +34,7 @@
 		s.serve(context.Background(), c)
 	}()
 	<-c.waiting
-	s.Drain(time.Second)
+	s.Drain(0, time.Second)
 	<-ended
 	if works := stream.seen(); len(works) != 0 {
 		t.Errorf("%d statements went to a member after the session was closed", len(works))
@@ -64,7 +64,7 @@
 			t.Fatalf("%s: %v", q.Text, a.Fault)
 		}
 		if i == 0 {
-			go s.Drain(5 * time.Second)
+			go s.Drain(RestTime, 5*time.Second)
 		}
 	}
 	close(c.queries)
@@ -90,14 +90,57 @@
 		<-c.answers
 		if !drained {
 			drained = true
-			go s.Drain(5 * time.Second)
+			go s.Drain(RestTime, 5*time.Second)
 		}
 		select {
 		case <-closed:
 			t.Fatal("the session was closed right after an answer")
-		case <-time.After(restTime / 3):
+		case <-time.After(RestTime / 3):
 		}
 	}
 	<-closed
 	close(c.queries)
 }
+
+// TestDrainNeverCutsWhatRuns drains while a statement takes longer than the first limit. The statement
+// gets its answer, and the session ends after it.
+func TestDrainNeverCutsWhatRuns(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	stream := &fakeStream{
+		do: func(egret.Work) egret.Answer {
+			close(started)
+			<-finish
+			return egret.Answer{Signature: "s"}
+		},
+	}
+	s := serverOf(stream)
+	c := newFakeConn("orders")
+	closed := make(chan struct{})
+	once := sync.Once{}
+	c.closing = func() {
+		once.Do(func() {
+			close(closed)
+			close(c.queries)
+		})
+	}
+	go s.serve(context.Background(), c)
+	c.queries <- egret.Query{ID: "1", Verb: egret.VerbRead, Text: "READ a"}
+	<-started
+	if left := s.Drain(RestTime, 3*RestTime); left != 1 {
+		t.Fatalf("%d sessions are left, want the one with a statement", left)
+	}
+	select {
+	case <-closed:
+		t.Fatal("the session was closed while its statement ran")
+	default:
+	}
+	drained := make(chan int)
+	go func() { drained <- s.Drain(0, 5*time.Second) }()
+	close(finish)
+	if a := <-c.answers; a.Signature != "s" {
+		t.Errorf("answer %+v", a)
+	}
+	if left := <-drained; left != 0 {
+		t.Errorf("%d sessions are left", left)
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -14,6 +14,9 @@
 	"egretlane.example/egret/trail"
 )
 
+// RestTime is how long a session should rest before it is ended: several round trips to callers.
+const RestTime = 60 * time.Millisecond
+
 const (
 	// startTimeout bounds the opening of a session by a caller.
 	startTimeout = 5 * time.Second
@@ -23,9 +26,6 @@
 	configurationTime = 1500 * time.Millisecond
 	configurationPoll = 20 * time.Millisecond
 
-	// restTime is how long a session rests before it may be ended: several round trips to callers.
-	restTime = 60 * time.Millisecond
-
 	// drainPoll is how often sessions are looked at that shall end.
 	drainPoll = 10 * time.Millisecond
 
@@ -91,15 +91,15 @@
 	}
 }
 
-// Drain ends sessions until none is left or the time is over. A session ends when it has rested for a
-// while: right after an answer its caller's next statement may be on its way, and would be lost. It
-// returns how many sessions are left.
-func (s *Server) Drain(d time.Duration) int {
+// Drain ends sessions until none is left or the time is over. A session ends when it has rested for
+// the given time: right after an answer its caller's next statement may be on its way, and would be lost.
+// What runs is never cut. It returns how many sessions are left.
+func (s *Server) Drain(rest, limit time.Duration) int {
 	s.draining.Store(true)
 	began := clock.Now()
 	for {
-		left := s.endResting(restTime)
-		if left == 0 || clock.Since(began) >= d {
+		left := s.endResting(rest)
+		if left == 0 || clock.Since(began) >= limit {
 			return left
 		}
 		time.Sleep(drainPoll)
