--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
 	"egretlane.example/egret"
@@ -28,16 +27,6 @@
 
 	// nodesPrefix is where proxies register themselves.
 	nodesPrefix = keysPrefix + "nodes/"
-
-	// nodeTTL is how long a proxy that is gone stays registered. Only the order of candidates depends
-	// on it.
-	nodeTTL = 20 * time.Second
-
-	// renewInterval leaves time for two more tries before a registration lapses.
-	renewInterval = 6 * time.Second
-
-	// retryInterval is the pause after a failed registration.
-	retryInterval = 500 * time.Millisecond
 )
 
 // Node is a proxy as it registers itself.
@@ -318,66 +307,6 @@
 	f.Trail.Event("node-seen").Str("node", id).Str("incarnation", n.Incarnation).Bool("removed", item.Removed).Int("nodes", len(f.nodes)).Msg("a proxy's registration changed")
 }
 
-// register keeps this process registered.
-func (f *Fleet) register(ctx context.Context) error {
-	data, err := json.Marshal(f.Self)
-	if err != nil {
-		return err
-	}
-	lease := egret.LeaseID(0)
-	for ctx.Err() == nil && !f.Leaving() {
-		pause := renewInterval
-		if lease != 0 {
-			err = f.Keys.Renew(ctx, lease)
-		}
-		if lease == 0 || errors.Is(err, egret.ErrLeaseLapsed) || !f.registered() {
-			lease, err = f.announce(ctx, data)
-		}
-		if err != nil {
-			pause = retryInterval
-		}
-		select {
-		case <-ctx.Done():
-		case <-f.left:
-		case <-time.After(pause):
-		}
-	}
-	if lease != 0 {
-		ctx, cancel := context.WithTimeout(context.Background(), retryInterval)
-		defer cancel()
-		// The lease ends by itself if the call fails.
-		_ = f.Keys.Revoke(ctx, lease)
-	}
-	return nil
-}
-
-// registered reports whether the last watch showed this process's own registration.
-func (f *Fleet) registered() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n, found := f.nodes[f.Self.ID]
-	return found && n.Incarnation == f.Self.Incarnation
-}
-
-// announce writes the registration under a new lease.
-func (f *Fleet) announce(ctx context.Context, data []byte) (egret.LeaseID, error) {
-	lease, err := f.Keys.Grant(ctx, nodeTTL)
-	if err != nil {
-		return 0, err
-	}
-	key := nodesPrefix + f.Self.ID
-	item, err := f.Keys.Read(ctx, key)
-	if err != nil {
-		return 0, err
-	}
-	_, err = f.Keys.Swap(ctx, key, item.Revision, data, lease)
-	f.Trail.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(lease)).Err(err).Msg("this process registered itself")
-	if err != nil {
-		return 0, err
-	}
-	return lease, nil
-}
-
 // Leave keeps this process from taking services, and takes back its registration, so that nobody names
 // it as a successor.
 func (f *Fleet) Leave() {
--- a/keyspace.go
+++ b/keyspace.go
@@ -67,26 +67,3 @@
 	// duty. ErrNotServed, as the cause, says that the member was refused and nothing changes.
 	Promote(ctx context.Context, service, member, holder string, token uint64) error
 }
-
-// CallerConn is a caller's connection, as a codec reads and writes it. One goroutine uses it at a
-// time, but for Close.
-type CallerConn interface {
-	// Start reads the opening of the session and returns the database that the caller asks for.
-	Start(deadline time.Time) (database string, err error)
-
-	// Admit tells the caller that the session is open.
-	Admit() error
-
-	// Refuse tells the caller why the session isn't opened.
-	Refuse(f Fault) error
-
-	// Next returns the next statement. io.EOF says that the caller has ended the session. A
-	// statement that can't be read has VerbInvalid, and Argument says why.
-	Next() (Query, error)
-
-	// Answer tells the caller how its statement ended.
-	Answer(a Answer) error
-
-	// Close ends the connection. A Next that waits returns an error.
-	Close()
-}
