--- a/watch/watch.go
+++ b/watch/watch.go
@@ -26,6 +26,9 @@
 	// after it, so it stays below the time in which a configuration has to be in force.
 	wait = 3 * time.Second
 
+	// probeWait is how long a call waits while calls fail.
+	probeWait = 100 * time.Millisecond
+
 	// relayInterval is how often another process is asked for changes. A configuration has to be in
 	// force within seconds, and the questions cost the platform nothing.
 	relayInterval = 250 * time.Millisecond
@@ -109,7 +112,7 @@
 		if at == 0 {
 			return
 		}
-		items, next, err := w.Keys.Changes(ctx, w.Prefix, at, wait)
+		items, next, err := w.Keys.Changes(ctx, w.Prefix, at, w.patience())
 		if errors.Is(err, egret.ErrHistoryGone) {
 			w.Trail.Event("history-gone").Str("prefix", w.Prefix).Uint64("after", at).Msg("the store has dropped changes")
 			return
@@ -121,6 +124,15 @@
 	}
 }
 
+// patience is how long the next call waits for changes. A call that is sent in an outage may never be
+// answered, so those after a failed one are short, to hear soon of the store's return.
+func (w *Watch) patience() time.Duration {
+	if w.failing.Load() {
+		return probeWait
+	}
+	return wait
+}
+
 // take hands changes on and returns the revision to go on from. own says that the store itself told
 // them.
 func (w *Watch) take(items []egret.Item, at uint64, own bool) uint64 {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -20,6 +20,7 @@
 	lists [][]egret.Item
 	steps []func() ([]egret.Item, uint64, error)
 	asked []uint64
+	waits []time.Duration
 }
 
 func (k *scriptedKeys) List(context.Context, string) ([]egret.Item, uint64, error) {
@@ -33,9 +34,10 @@
 	return list, 10, nil
 }
 
-func (k *scriptedKeys) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]egret.Item, uint64, error) {
+func (k *scriptedKeys) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]egret.Item, uint64, error) {
 	k.mu.Lock()
 	k.asked = append(k.asked, after)
+	k.waits = append(k.waits, wait)
 	if len(k.steps) == 0 {
 		k.mu.Unlock()
 		<-ctx.Done()
@@ -91,4 +93,8 @@
 	if want := []uint64{10, 12, 12, 14, 10}; !slices.Equal(k.asked[:5], want) {
 		t.Errorf("asked after %v, want %v", k.asked, want)
 	}
+	// A store that is back doesn't answer what it missed: the call after a failed one is a short one.
+	if k.waits[1] != wait || k.waits[2] > wait/10 || k.waits[3] != wait {
+		t.Errorf("the calls waited for %v", k.waits)
+	}
 }
