egretlab/links: a signal no longer ends the wait of a link early

Cause: the last 2 ms of a wait are slept by nanosleep, which a signal ends. The runtime preempts goroutines with signals, more of them under the race detector, so that a chunk could arrive up to 2 ms early. Ruled out: the due time (monotonic clock, set after the read) and the runtime's timer, which is late and never early.

The wait goes on until the due time.

--- a/egretlab/links/pipe.go
+++ b/egretlab/links/pipe.go
@@ -138,10 +138,13 @@
 		time.Sleep(left - coarseSleep)
 		left = time.Until(t)
 	}
-	if left <= 0 {
-		return
+	// The runtime preempts with signals, each of which ends a sleep early.
+	for left > 0 {
+		wait := syscall.NsecToTimespec(left.Nanoseconds())
+		if err := syscall.Nanosleep(&wait, nil); err != nil && !errors.Is(err, syscall.EINTR) {
+			// The runtime's timer is late, never early.
+			time.Sleep(left)
+		}
+		left = time.Until(t)
 	}
-	wait := syscall.NsecToTimespec(left.Nanoseconds())
-	// A signal only ends the wait early.
-	_ = syscall.Nanosleep(&wait, nil)
 }
