egretlab/keysim: a stand-in of the platform's metadata store

Its tests drive it with platform.Store: conditions and leases, a dropped history, and which of six faults leave a write done.

--- /dev/null
+++ b/egretlab/keysim/server_test.go
@@ -0,0 +1,105 @@
+package keysim
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/platform"
+)
+
+// newStore runs a store and returns it with a client.
+func newStore(t *testing.T) (*Server, *platform.Store) {
+	t.Helper()
+	s := &Server{}
+	go s.Run(t.Context())
+	h := httptest.NewServer(s.Handler("proxy-1"))
+	t.Cleanup(h.CloseClientConnections)
+	c := &platform.Store{
+		Address: netip.MustParseAddrPort(h.Listener.Addr().String()),
+	}
+	c.Init()
+	return s, c
+}
+
+func TestConditionsAndLeases(t *testing.T) {
+	_, c := newStore(t)
+	ctx := t.Context()
+	lease, err := c.Grant(ctx, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision, err := c.Swap(ctx, "nodes/a", 0, []byte("one"), lease)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Swap(ctx, "nodes/a", 0, []byte("two"), 0); !errors.Is(err, egret.ErrConflict) {
+		t.Errorf("second writer: %v", err)
+	}
+	if _, err := c.Swap(ctx, "servers/a", 0, nil, 0); !errors.Is(err, egret.ErrNotServed) {
+		t.Errorf("key of the members: %v", err)
+	}
+	events, _, err := c.Changes(ctx, "nodes/", revision, 2*time.Second)
+	if err != nil || len(events) != 1 || !events[0].Removed {
+		t.Errorf("end of the lease: %+v %v", events, err)
+	}
+	if err := c.Renew(ctx, lease); !errors.Is(err, egret.ErrLeaseLapsed) {
+		t.Errorf("renewal of an ended lease: %v", err)
+	}
+}
+
+func TestHistoryIsDropped(t *testing.T) {
+	s, c := newStore(t)
+	s.Put("op/config", []byte("1"))
+	s.Put("op/config", []byte("2"))
+	items, at, err := c.List(t.Context(), "op/")
+	if err != nil || len(items) != 1 || string(items[0].Data) != "2" {
+		t.Fatalf("%+v %v", items, err)
+	}
+	s.Forget()
+	if _, _, err := c.Changes(t.Context(), "op/", at-1, time.Second); !errors.Is(err, egret.ErrHistoryGone) {
+		t.Errorf("watch from before the history: %v", err)
+	}
+	if _, _, err := c.Changes(t.Context(), "op/", at, 10*time.Millisecond); err != nil {
+		t.Errorf("watch from now: %v", err)
+	}
+}
+
+// TestFaults checks which of the faults of a write leave it done.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault Fault
+		done  bool
+	}{
+		{name: "refused", fault: Fault{Mode: ModeRefuse}},
+		{name: "limited", fault: Fault{Mode: ModeLimit}},
+		{name: "reset", fault: Fault{Mode: ModeReset}},
+		{name: "silent", fault: Fault{Mode: ModeSilent}},
+		{name: "answer lost", fault: Fault{LoseAnswers: 1}, done: true},
+		{name: "late", fault: Fault{LateWrites: 1}, done: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, client := newStore(t)
+			s.Break("proxy-1", c.fault)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			if _, err := client.Swap(ctx, "nodes/a", 0, []byte("one"), 0); err == nil {
+				t.Error("the write was answered")
+			}
+			s.Break("proxy-1", Fault{})
+			if c.fault.LateWrites > 0 {
+				time.Sleep(maxLate)
+			}
+			got, err := client.Read(t.Context(), "nodes/a")
+			if err != nil || (got.Revision != 0) != c.done {
+				t.Errorf("%+v %v, done is to be %t", got, err, c.done)
+			}
+		})
+	}
+}
