egretlab/dbsim: a stand-in of database groups that speak the line protocol

All members of a group run in one process: a witness sees each run with what the member had applied, each commit and each promotion, and can judge them against the whole. Tests drive it with platform.Dialer: replicas follow, a promotion rolls back, a commit waits for replicas.

--- /dev/null
+++ b/egretlab/dbsim/group_test.go
@@ -0,0 +1,186 @@
+package dbsim
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/platform"
+)
+
+// witness keeps what it is told.
+type witness struct {
+	mu         sync.Mutex
+	runs       []Run
+	commits    []Commit
+	promotions []Promotion
+}
+
+func (w *witness) Ran(r Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs = append(w.runs, r)
+}
+
+func (w *witness) Committed(c Commit) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.commits = append(w.commits, c)
+}
+
+func (w *witness) Promoted(p Promotion) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.promotions = append(w.promotions, p)
+}
+
+// newGroup runs a group of three members.
+func newGroup(t *testing.T, change func(g *Group)) (*Group, *witness) {
+	t.Helper()
+	w := &witness{}
+	g := &Group{
+		Service:     "orders",
+		Slots:       2,
+		Connections: 8,
+		Transit:     time.Millisecond,
+		Lag:         5 * time.Millisecond,
+		PromoteTime: 20 * time.Millisecond,
+		Witness:     w,
+	}
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		g.Members = append(g.Members, &Member{
+			Listen: netip.MustParseAddrPort(l.Addr().String()),
+		})
+	}
+	if change != nil {
+		change(g)
+	}
+	go func() {
+		if err := g.Run(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}()
+	for range 1000 {
+		if ids, _ := g.MemberIDs(); len(ids) == 3 {
+			return g, w
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the members don't start")
+	return nil, nil
+}
+
+func (g *Group) backend(i int) egret.Backend {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return egret.Backend{
+		ID:      g.Members[i].id,
+		Service: g.Service,
+		Address: g.Members[i].Listen,
+	}
+}
+
+func dial(t *testing.T, b egret.Backend) egret.BackendConn {
+	t.Helper()
+	c, err := platform.Dialer{}.Dial(t.Context(), b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// ask runs a statement after a floor.
+func ask(t *testing.T, c egret.BackendConn, floor egret.Position, text string) egret.Answer {
+	t.Helper()
+	a, err := c.Exchange(time.Now().Add(5*time.Second), []egret.Command{{
+		Kind: egret.CommandStatement,
+		Query: egret.Query{
+			ID:   "q",
+			Text: text,
+		},
+		Floor: floor,
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a[0]
+}
+
+func TestReplicasFollow(t *testing.T) {
+	g, w := newGroup(t, nil)
+	primary, replica := dial(t, g.backend(0)), dial(t, g.backend(1))
+	written := ask(t, primary, egret.Position{}, "WRITE a one")
+	if written.Fault.Kind != egret.FaultNone || written.Position.Offset != 1 {
+		t.Fatalf("%+v", written)
+	}
+	read := ask(t, replica, written.Position, "READ a")
+	if read.Fault.Kind != egret.FaultNone || read.Rows[0] != "one" {
+		t.Errorf("%+v", read)
+	}
+	if refused := ask(t, replica, egret.Position{}, "WRITE a two"); refused.Fault.Kind != egret.FaultReadOnly {
+		t.Errorf("%+v", refused)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.commits) != 1 || len(w.runs) != 3 || w.runs[1].Signature != read.Signature {
+		t.Errorf("%+v %+v", w.commits, w.runs)
+	}
+}
+
+// TestPromotionRollsBack commits where no replica receives it, promotes a replica and asks for the lost
+// position.
+func TestPromotionRollsBack(t *testing.T) {
+	g, w := newGroup(t, nil)
+	old := dial(t, g.backend(0))
+	kept := ask(t, old, egret.Position{}, "WRITE a one")
+	time.Sleep(50 * time.Millisecond)
+	g.Isolate(g.Members[0], true)
+	lost := ask(t, old, egret.Position{}, "WRITE a two")
+	g.Promote(g.backend(1).ID)
+	time.Sleep(100 * time.Millisecond)
+	lead := dial(t, g.backend(1))
+	if a := ask(t, lead, kept.Position, "READ a"); a.Fault.Kind != egret.FaultNone || a.Rows[0] != "one" {
+		t.Errorf("kept position: %+v", a)
+	}
+	if a := ask(t, lead, lost.Position, "READ a"); a.Fault.Kind != egret.FaultLagging {
+		t.Errorf("lost position: %+v", a)
+	}
+	g.Isolate(g.Members[0], false)
+	time.Sleep(supersededAfter + 200*time.Millisecond)
+	if _, lead := g.MemberIDs(); lead != g.backend(1).ID || len(g.Log()) != 1 {
+		t.Errorf("lead %s, log of %d", lead, len(g.Log()))
+	}
+	again := dial(t, g.backend(0))
+	if a := ask(t, again, egret.Position{}, "READ a"); a.Rows[0] != "one" {
+		t.Errorf("after the roll-back: %+v", a)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.promotions) != 1 || w.promotions[0].Kept != 1 {
+		t.Errorf("%+v", w.promotions)
+	}
+}
+
+func TestCommitWaitsForReplicas(t *testing.T) {
+	g, _ := newGroup(t, func(g *Group) {
+		g.SyncReplicas = 1
+	})
+	c := dial(t, g.backend(0))
+	if a := ask(t, c, egret.Position{}, "WRITE a one"); a.Fault.Kind != egret.FaultNone {
+		t.Errorf("%+v", a)
+	}
+	g.Members[1].Crash()
+	g.Members[2].Crash()
+	if a := ask(t, c, egret.Position{}, "WRITE a two"); a.Fault.Kind != egret.FaultInDoubt {
+		t.Errorf("no replica runs: %+v", a)
+	}
+}
