egretlab/links: resets, added delays and the end of a single cut

A soak needs faults that overlap: a cut that ends while another goes on, connections that are reset, links that turn slow. Until now a cut could only be ended with all others. Chunks don't overtake each other when a delay ends.

--- a/egretlab/links/pipe.go
+++ b/egretlab/links/pipe.go
@@ -39,8 +39,11 @@
 	// source and target are the ends.
 	source, target *net.TCPConn
 
-	// latency is the time on the way.
-	latency time.Duration
+	// latency returns the time on the way.
+	latency func() time.Duration
+
+	// last is when the last chunk is due. Later ones don't overtake it.
+	last time.Time
 
 	// opened is when the connection is open for the side that sends, as the handshake takes a
 	// round trip.
@@ -103,7 +106,12 @@
 	if p.limiter != nil && n > 0 {
 		now = now.Add(p.limiter.ReserveN(now, n).DelayFrom(now))
 	}
-	return now.Add(p.latency)
+	due := now.Add(p.latency())
+	if due.Before(p.last) {
+		due = p.last
+	}
+	p.last = due
+	return due
 }
 
 // write hands chunks on when they are due.
--- a/egretlab/links/relay.go
+++ b/egretlab/links/relay.go
@@ -50,6 +50,13 @@
 
 	// thereLimiter and backLimiter may be nil.
 	thereLimiter, backLimiter *rate.Limiter
+
+	// extra is added to the latency, in nanoseconds.
+	extra atomic.Int64
+
+	// mu guards ends, those of the open connections.
+	mu   sync.Mutex
+	ends map[*net.TCPConn]bool
 }
 
 func (r *Relay) open() {
@@ -58,6 +65,7 @@
 		for _, l := range r.Plan.Links {
 			r.links = append(r.links, &link{
 				Link:         l,
+				ends:         map[*net.TCPConn]bool{},
 				thereLimiter: r.limiter(l.From.Region, l.To.Region),
 				backLimiter:  r.limiter(l.To.Region, l.From.Region),
 			})
@@ -114,6 +122,48 @@
 	}
 }
 
+// Uncut ends what the cut holds for, as Heal does for all.
+func (r *Relay) Uncut(c Cut) {
+	r.open()
+	for _, l := range r.links {
+		if c.holds(l.From, l.To) {
+			l.there.set(true)
+		}
+		if c.holds(l.To, l.From) {
+			l.back.set(true)
+		}
+	}
+}
+
+// Reset resets the connections between two places, in either direction.
+func (r *Relay) Reset(from, to string) {
+	for _, l := range r.between(from, to) {
+		l.reset()
+	}
+}
+
+// Delay sets what is added to the latency between two places, in either direction.
+func (r *Relay) Delay(from, to string, extra time.Duration) {
+	for _, l := range r.between(from, to) {
+		l.extra.Store(int64(extra))
+	}
+}
+
+func (r *Relay) between(from, to string) []*link {
+	r.open()
+	c := Cut{
+		From: from,
+		To:   to,
+	}
+	found := []*link{}
+	for _, l := range r.links {
+		if c.holds(l.From, l.To) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
 // Heal ends all cuts. Connections that were open before go on, as if all that was lost is sent again.
 func (r *Relay) Heal() {
 	r.open()
@@ -156,9 +206,42 @@
 	}
 	target := c.(*net.TCPConn)
 	defer closeAll(target)
+	defer l.hold(source, target)()
 	l.move(ctx, source, target, opened)
 }
 
+// latency is the time of one direction at present.
+func (l *link) latency() time.Duration {
+	return l.Latency + time.Duration(l.extra.Load())
+}
+
+// hold keeps the ends of a connection for a reset. The returned function forgets them.
+func (l *link) hold(ends ...*net.TCPConn) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range ends {
+		l.ends[c] = true
+	}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, c := range ends {
+			delete(l.ends, c)
+		}
+	}
+}
+
+// reset resets both ends of all open connections.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.ends {
+		// The end may have been closed meanwhile.
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
 // waitCut returns true if the link is cut, after the end of the cut: what was accepted meanwhile was
 // never there for the other side.
 func (l *link) waitCut(ctx context.Context) bool {
@@ -190,7 +273,7 @@
 	there := &pipe{
 		source:  source,
 		target:  target,
-		latency: l.Latency,
+		latency: l.latency,
 		opened:  opened,
 		limiter: l.thereLimiter,
 		gate:    &l.there,
@@ -201,7 +284,7 @@
 	back := &pipe{
 		source:  target,
 		target:  source,
-		latency: l.Latency,
+		latency: l.latency,
 		limiter: l.backLimiter,
 		gate:    &l.back,
 		count: func(n int) {
--- a/egretlab/links/relay_test.go
+++ b/egretlab/links/relay_test.go
@@ -5,8 +5,12 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // network is a running relay with one link to an echo server.
@@ -228,3 +232,56 @@
 		t.Fatal(err)
 	}
 }
+
+func TestResetsAndDelays(t *testing.T) {
+	n := newNetwork(t, time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	n.relay.Delay("a-1", "b", 50*time.Millisecond)
+	if took := exchange(t, c, "slow"); took < 100*time.Millisecond {
+		t.Errorf("round trip of %s with 100 ms added", took)
+	}
+	n.relay.Delay("a-1", "b", 0)
+	n.relay.Reset("c", "b")
+	exchange(t, c, "another link was reset")
+	n.relay.Reset("b", "a-1")
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read after a reset: %v", err)
+	}
+	exchange(t, n.dial(t), "a new connection")
+}
+
+func TestUncutEndsOneCut(t *testing.T) {
+	n := newNetwork(t, time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	n.relay.Cut(Cut{
+		From: "b-1",
+		To:   "a-1",
+	})
+	n.relay.Uncut(Cut{
+		From:   "a-1",
+		To:     "b-1",
+		OneWay: true,
+	})
+	if err := c.SetDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read while the way back is cut: %v", err)
+	}
+	n.relay.Uncut(Cut{
+		From:   "b-1",
+		To:     "a-1",
+		OneWay: true,
+	})
+	if err := c.SetDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("read after the cut: %v", err)
+	}
+}
