egretlab: a fault soak on the stand-ins of the platform

`egretlab soak` runs proxies as processes before keysim and dbsim, with faults from outside: signals, a store that refuses, is silent, slow, loses answers or writes late, cuts of proxies from members in one direction or both, resets, delays, crashes, drains, changes of the configuration. A ledger checks stale reads, doubled, refused and lost writes, foreign answers, mixed sessions, tokens of promotions, late configurations, requests lost in planned work, recovery and processes that end by themselves.

--- a/egretlab/dbsim/doc.go
+++ b/egretlab/dbsim/doc.go
@@ -8,5 +8,6 @@
 //		Members: members,
 //		Witness: w,
 //	}
+//	err := g.Open(ctx)
 //	go g.Run(ctx)
 package dbsim
--- a/egretlab/dbsim/group.go
+++ b/egretlab/dbsim/group.go
@@ -148,8 +148,8 @@
 	Item, Data string
 }
 
-// Run runs all members until the context ends.
-func (g *Group) Run(ctx context.Context) error {
+// Open starts all members.
+func (g *Group) Open(ctx context.Context) error {
 	g.mu.Lock()
 	g.term = 1
 	g.starts = map[uint64]uint64{}
@@ -165,6 +165,11 @@
 			return errors.Trace(err)
 		}
 	}
+	return nil
+}
+
+// Run moves the logs of the members until the context ends, and then ends the members.
+func (g *Group) Run(ctx context.Context) {
 	defer func() {
 		for _, m := range g.Members {
 			m.Crash()
@@ -175,7 +180,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case now := <-tick.C:
 			g.advance(now)
 		}
@@ -279,22 +284,24 @@
 	return n
 }
 
-// MemberIDs returns the IDs of the members that run, and that of the newest primary or "".
-func (g *Group) MemberIDs() ([]string, string) {
+// Lead returns the newest primary that runs, or nil.
+func (g *Group) Lead() *Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ids, lead := []string{}, ""
-	newest := uint64(0)
+	var lead *Member
 	for _, m := range g.Members {
-		if !m.running {
-			continue
-		}
-		ids = append(ids, m.id)
-		if m.primary && m.term > newest {
-			newest, lead = m.term, m.id
+		if m.running && m.primary && (lead == nil || m.term > lead.term) {
+			lead = m
 		}
 	}
-	return ids, lead
+	return lead
+}
+
+// Promotions returns how many terms have started after the first.
+func (g *Group) Promotions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.starts)
 }
 
 // Log returns the log of the newest primary, running or not.
--- a/egretlab/dbsim/group_test.go
+++ b/egretlab/dbsim/group_test.go
@@ -63,19 +63,11 @@
 	if change != nil {
 		change(g)
 	}
-	go func() {
-		if err := g.Run(t.Context()); err != nil {
-			t.Error(err)
-		}
-	}()
-	for range 1000 {
-		if ids, _ := g.MemberIDs(); len(ids) == 3 {
-			return g, w
-		}
-		time.Sleep(time.Millisecond)
+	if err := g.Open(t.Context()); err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("the members don't start")
-	return nil, nil
+	go g.Run(t.Context())
+	return g, w
 }
 
 func (g *Group) backend(i int) egret.Backend {
@@ -156,8 +148,8 @@
 	}
 	g.Isolate(g.Members[0], false)
 	time.Sleep(supersededAfter + 200*time.Millisecond)
-	if _, lead := g.MemberIDs(); lead != g.backend(1).ID || len(g.Log()) != 1 {
-		t.Errorf("lead %s, log of %d", lead, len(g.Log()))
+	if lead := g.Lead(); lead != g.Members[1] || len(g.Log()) != 1 {
+		t.Errorf("lead %s, log of %d", lead.ID(), len(g.Log()))
 	}
 	again := dial(t, g.backend(0))
 	if a := ask(t, again, egret.Position{}, "READ a"); a.Rows[0] != "one" {
--- a/egretlab/dbsim/member.go
+++ b/egretlab/dbsim/member.go
@@ -65,8 +65,12 @@
 	connections map[net.Conn]bool
 }
 
-// Start listens. A fresh member has a new ID; otherwise it is the process that crashed.
+// Start listens, unless the member runs. A fresh member has a new ID; otherwise it is the process that
+// crashed.
 func (m *Member) Start(ctx context.Context, fresh bool) error {
+	if m.runs() {
+		return nil
+	}
 	c := net.ListenConfig{}
 	l, err := c.Listen(ctx, "tcp", m.Listen.String())
 	if err != nil {
@@ -92,6 +96,12 @@
 	return nil
 }
 
+func (m *Member) runs() bool {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.running
+}
+
 // Crash ends the process at once: its connections are reset, its log stays.
 func (m *Member) Crash() {
 	m.group.mu.Lock()
@@ -149,10 +159,7 @@
 	if !m.running {
 		return "", nil
 	}
-	role, state := egret.RoleReplica, "ready"
-	if m.primary {
-		role = egret.RolePrimary
-	}
+	role, state := m.role(), "ready"
 	if m.draining {
 		state = "draining"
 	}
@@ -175,6 +182,28 @@
 	return m.id, data
 }
 
+// ID names the process that runs, or ran last.
+func (m *Member) ID() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.id
+}
+
+// Role returns how the member sees itself.
+func (m *Member) Role() egret.Role {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.role()
+}
+
+// role returns how the member sees itself. The caller holds the group's lock.
+func (m *Member) role() egret.Role {
+	if m.primary {
+		return egret.RolePrimary
+	}
+	return egret.RoleReplica
+}
+
 // position returns the end of what is applied. The caller holds the group's lock.
 func (m *Member) position() egret.Position {
 	return egret.Position{
--- a/egretlab/dbsim/serve.go
+++ b/egretlab/dbsim/serve.go
@@ -449,11 +449,7 @@
 			m.reached = time.Time{}
 		}
 	}
-	role := egret.RoleReplica
-	if m.primary {
-		role = egret.RolePrimary
-	}
-	row := fmt.Sprintf("%s %d %s %d %d %d %d", role, m.term, format(egret.Position{
+	row := fmt.Sprintf("%s %d %s %d %d %d %d", m.role(), m.term, format(egret.Position{
 		Term:   m.term,
 		Offset: uint64(len(m.log)),
 	}), m.held, g.Lag.Milliseconds(), len(m.slots), len(m.connections))
--- a/egretlab/main.go
+++ b/egretlab/main.go
@@ -37,6 +37,7 @@
 			planCommand(),
 			linksCommand(),
 			measureCommand(),
+			soakCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/egretlab/soak.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"egretlane.example/egret/egretlab/soak"
+)
+
+// The sizes of a soak: a few dozen callers before as many proxies as one machine runs easily.
+const (
+	soakProxies  = 5
+	soakServices = 2
+	soakCallers  = 6
+	soakLength   = 40 * time.Second
+)
+
+// soakCommand runs proxies on the stand-ins of the platform under faults.
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run proxies as processes under faults and check what callers and members see",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{
+				Name:    "seed",
+				Usage:   "first `SEED`; 0 takes one from the clock",
+				Sources: cli.EnvVars("EGRETLAB_SEED"),
+			},
+			&cli.IntFlag{
+				Name:    "seeds",
+				Usage:   "`NUMBER` of seeds, one after the other",
+				Value:   1,
+				Sources: cli.EnvVars("EGRETLAB_SEEDS"),
+			},
+			&cli.DurationFlag{
+				Name:    "length",
+				Usage:   "`DURATION` of a run",
+				Value:   soakLength,
+				Sources: cli.EnvVars("EGRETLAB_LENGTH"),
+			},
+			&cli.IntFlag{
+				Name:    "proxies",
+				Usage:   "`NUMBER` of proxies",
+				Value:   soakProxies,
+				Sources: cli.EnvVars("EGRETLAB_PROXIES"),
+			},
+			&cli.IntFlag{
+				Name:    "services",
+				Usage:   "`NUMBER` of database groups of three members",
+				Value:   soakServices,
+				Sources: cli.EnvVars("EGRETLAB_SERVICES"),
+			},
+			&cli.IntFlag{
+				Name:    "callers",
+				Usage:   "`NUMBER` of callers of each route",
+				Value:   soakCallers,
+				Sources: cli.EnvVars("EGRETLAB_CALLERS"),
+			},
+			&cli.StringFlag{
+				Name:    "program",
+				Usage:   "`FILE` of the proxy",
+				Value:   ".bin/egretlane",
+				Sources: cli.EnvVars("EGRETLAB_PROGRAM"),
+			},
+			&cli.StringFlag{
+				Name:    "folder",
+				Usage:   "`FOLDER` for settings, logs and reports",
+				Value:   ".run/soak",
+				Sources: cli.EnvVars("EGRETLAB_FOLDER"),
+			},
+		},
+		Action: runSoak,
+	}
+}
+
+// runSoak plays the seeds. It ends with an error if any broke a promise.
+func runSoak(ctx context.Context, c *cli.Command) error {
+	seed := c.Uint64("seed")
+	if seed == 0 {
+		seed = uint64(time.Now().Unix())
+	}
+	broken := 0
+	for i := range uint64(c.Int("seeds")) {
+		if ctx.Err() != nil {
+			break
+		}
+		found, err := soakSeed(ctx, c, seed+i)
+		if err != nil {
+			return errors.Annotatef(err, "seed %d", seed+i)
+		}
+		if found > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise", broken, c.Int("seeds"))
+	}
+	return nil
+}
+
+// soakSeed plays a seed and returns how many promises were broken.
+func soakSeed(ctx context.Context, c *cli.Command, seed uint64) (int, error) {
+	folder := filepath.Join(c.String("folder"), fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return 0, errors.Trace(err)
+	}
+	events, err := os.Create(filepath.Join(folder, "events.log"))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer func() {
+		_ = events.Close()
+	}()
+	s := &soak.Soak{
+		Program:  c.String("program"),
+		Folder:   folder,
+		Plan:     soak.NewPlan(seed, c.Duration("length")),
+		Proxies:  c.Int("proxies"),
+		Services: c.Int("services"),
+		Callers:  c.Int("callers"),
+		Log: func(format string, args ...any) {
+			// Events are of use beside a report only.
+			_, _ = fmt.Fprintf(events, format+"\n", args...)
+		},
+	}
+	report, err := s.Run(ctx)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	data, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "report.json"), data, 0o600); err != nil {
+		return 0, errors.Trace(err)
+	}
+	fmt.Printf("seed %d: %d events, %d of %d statements served, %d promotions, %d violations\n",
+		seed, len(report.Plan.Events), report.Served, report.Sent, report.Promotions, len(report.Violations))
+	for _, v := range report.Violations[:min(len(report.Violations), 5)] {
+		fmt.Printf("  %s after %s: %s\n", v.Rule, v.At.Round(time.Millisecond), v.What)
+	}
+	return len(report.Violations), nil
+}
