--- a/egretlab/links/pipe.go
+++ b/egretlab/links/pipe.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,10 @@
 
 	// count takes the bytes that have passed.
 	count func(n int)
+
+	// lost says that the sender has reset the connection, so that nobody sends again what was on the
+	// way.
+	lost atomic.Bool
 }
 
 // run moves the stream until its end or an error.
@@ -85,6 +90,7 @@
 			c.data = data[:n]
 		case !errors.Is(err, io.EOF):
 			c.err = errors.Trace(err)
+			p.lost.Store(true)
 		}
 		select {
 		case queue <- c:
@@ -128,6 +134,9 @@
 		if c.err != nil {
 			return c.err
 		}
+		if p.lost.Load() {
+			continue
+		}
 		if c.data == nil {
 			return errors.Trace(p.target.CloseWrite())
 		}
--- a/egretlab/links/relay_test.go
+++ b/egretlab/links/relay_test.go
@@ -285,3 +285,30 @@
 		t.Errorf("read after the cut: %v", err)
 	}
 }
+
+// TestResetLosesWhatIsHeldUp sends into a cut, resets, and ends the cut.
+func TestResetLosesWhatIsHeldUp(t *testing.T) {
+	n := newNetwork(t, time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	before := n.relay.Traffic()[0].Bytes
+	cut := Cut{
+		From: "a-1",
+		To:   "b-1",
+	}
+	n.relay.Cut(cut)
+	if _, err := c.Write([]byte("held up")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	time.Sleep(20 * time.Millisecond)
+	n.relay.Uncut(cut)
+	time.Sleep(50 * time.Millisecond)
+	if after := n.relay.Traffic()[0].Bytes; after != before {
+		t.Errorf("%d bytes arrived after the reset", after-before)
+	}
+}
--- a/egretlab/soak/ledger_test.go
+++ b/egretlab/soak/ledger_test.go
@@ -171,6 +171,14 @@
 			s.Sending(primary(), "w", "WRITE a y", time.Time{}, "")
 			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "w", Text: "WRITE a y", Values: map[string]string{"v": "1"}})
 		}},
+		{name: "values of the time when it was sent", story: func(s *story) {
+			c := primary()
+			s.Sending(c, "r", "READ a", time.Time{}, "")
+			s.Answered("r", nil, "", "TIMEOUT no answer")
+			s.Sending(c, "v", "SET v 1", time.Time{}, "")
+			s.Answered("v", nil, "-", "")
+			s.ran("r", position(1, 0))
+		}},
 		{name: "shape of another session", rule: "PINNED", story: func(s *story) {
 			c := primary()
 			s.Sending(c, "p", "PREPARE s1 READ q1", time.Time{}, "")
