--- a/egretlab/dbsim/member.go
+++ b/egretlab/dbsim/member.go
@@ -21,11 +21,11 @@
 	// Domain is its failure domain.
 	Domain string
 
-	// Isolated says that no other member reaches it. Set it through Group.Isolate while it runs.
-	Isolated bool
-
 	group *Group
 
+	// trouble is what is wrong with it.
+	trouble Trouble
+
 	// id names the process. A successor has another.
 	id string
 
@@ -132,11 +132,33 @@
 	m.draining = true
 }
 
-// Isolate cuts the member off from the other members, or ends that.
-func (g *Group) Isolate(m *Member, isolated bool) {
+// Trouble is what is wrong with a running member. The zero value is nothing.
+type Trouble struct {
+	// Isolated says that no other member reaches it, Deaf that it receives no entries of the log.
+	Isolated, Deaf bool
+
+	// LoseAnswers is the part of statements, from 0 to 1, that run and whose connection then ends.
+	LoseAnswers float64
+
+	// Fail is the part of statements, from 0 to 1, that fail.
+	Fail float64
+
+	// Slow is added to the work of each statement.
+	Slow time.Duration
+}
+
+// Trouble sets what is wrong with a member.
+func (g *Group) Trouble(m *Member, t Trouble) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.Isolated = isolated
+	m.trouble = t
+}
+
+// troubled returns what is wrong with the member.
+func (m *Member) troubled() Trouble {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.trouble
 }
 
 // dropConnections resets all connections. The caller holds the group's lock.
--- a/egretlab/keysim/calls.go
+++ b/egretlab/keysim/calls.go
@@ -211,6 +211,7 @@
 			"items": current,
 		}
 	}
+	s.writer = caller
 	for _, p := range c.Puts {
 		s.put(p.Key, p.Value, p.Lease)
 	}
--- a/egretlab/keysim/server.go
+++ b/egretlab/keysim/server.go
@@ -46,6 +46,9 @@
 	changed chan struct{}
 
 	faults map[string]Fault
+
+	// writer is the caller of the last conditional write that held.
+	writer string
 }
 
 // item is an item, or a removed key in the list of changes.
@@ -110,6 +113,13 @@
 	s.put(key, value, 0)
 }
 
+// LastWriter returns the caller of the last conditional write that held, or "".
+func (s *Server) LastWriter() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writer
+}
+
 // Remove removes a key.
 func (s *Server) Remove(key string) {
 	s.mu.Lock()
--- a/egretlab/soak/faults.go
+++ b/egretlab/soak/faults.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,14 @@
 	slowLink  = 80 * time.Millisecond
 	slowStore = 300 * time.Millisecond
 
+	// troubledPart is the part of statements that a troubled member fails or doesn't answer, slowWork
+	// what a slow one adds to each.
+	troubledPart = 0.3
+	slowWork     = 60 * time.Millisecond
+
+	// rudeCallers is how many rude callers come at once.
+	rudeCallers = 12
+
 	// lostAnswers is the part of conditional writes whose answers are lost.
 	lostAnswers = 0.5
 )
@@ -125,7 +134,7 @@
 
 // work does planned work.
 func (s *Soak) work(ctx context.Context, e Event) {
-	p := s.proxies[e.Target%len(s.proxies)]
+	p := s.victim(e)
 	g := s.groups[e.Target%len(s.groups)]
 	switch e.Kind {
 	case KindStop:
@@ -190,10 +199,24 @@
 	}
 }
 
+// victim returns the proxy that an event hits: for every second target the one that wrote to the store
+// last, which holds a service.
+func (s *Soak) victim(e Event) *proxy {
+	if e.Target%2 == 0 {
+		writer := s.store.LastWriter()
+		for _, p := range s.proxies {
+			if p.name == writer {
+				return p
+			}
+		}
+	}
+	return s.proxies[e.Target%len(s.proxies)]
+}
+
 // inject starts a fault and returns what ends it.
 func (s *Soak) inject(ctx context.Context, e Event) func() {
-	p := s.proxies[e.Target%len(s.proxies)]
-	g := s.groups[e.Target%len(s.groups)]
+	p := s.victim(e)
+	g := s.groups[e.Target/3%len(s.groups)]
 	lead := g.Lead()
 	if lead == nil {
 		lead = g.Members[0]
@@ -219,11 +242,10 @@
 		return s.crash(ctx, other, false)
 	case KindErase:
 		return s.crash(ctx, other, true)
-	case KindIsolate:
-		g.Isolate(lead, true)
-		return func() {
-			g.Isolate(lead, false)
-		}
+	case KindIsolate, KindLoseAnswers, KindGrey, KindSlow, KindDeaf:
+		return s.trouble(e, g, lead, other)
+	case KindRude:
+		s.rude(ctx, e, p)
 	case KindReset:
 		s.relay.Reset(p.name, other.Listen.String())
 	case KindSlowLink:
@@ -254,6 +276,64 @@
 	}
 }
 
+// trouble lets something be wrong with a member for a while.
+func (s *Soak) trouble(e Event, g *dbsim.Group, lead, other *dbsim.Member) func() {
+	m, t := other, dbsim.Trouble{}
+	switch e.Kind {
+	case KindIsolate:
+		m, t.Isolated = lead, true
+	case KindLoseAnswers:
+		t.LoseAnswers = troubledPart
+	case KindGrey:
+		t.Fail = troubledPart
+	case KindSlow:
+		t.Slow = slowWork
+	case KindDeaf:
+		t.Deaf = true
+	}
+	g.Trouble(m, t)
+	return func() {
+		g.Trouble(m, dbsim.Trouble{})
+	}
+}
+
+// rude opens sessions at a proxy that send what no caller should: they rest inside transactions that
+// have written, break off within a message, flood, and send broken messages.
+func (s *Soak) rude(ctx context.Context, e Event, p *proxy) {
+	r := s.routes()[0]
+	manners := []func(c *caller){
+		func(c *caller) {
+			begun, name := time.Now(), newID()
+			if c.ask("BEGIN", begun, name) == nil && c.ask(statement(r.database+"-0", true), begun, name) == nil {
+				pause(ctx, e.For)
+			}
+		},
+		func(c *caller) {
+			_, _ = fmt.Fprint(c.conn, "QUERY 1 WRI")
+			pause(ctx, e.For)
+		},
+		func(c *caller) {
+			_, _ = fmt.Fprint(c.conn, strings.Repeat("QUERY - nonsense\r\n", 5000))
+		},
+		func(c *caller) {
+			_, _ = fmt.Fprint(c.conn, "\x00\xff"+strings.Repeat("x", 2<<20))
+		},
+	}
+	for i := range rudeCallers {
+		go func() {
+			c := &caller{
+				soak:  s,
+				route: r,
+			}
+			c.start(p)
+			if c.conn != nil {
+				manners[i%len(manners)](c)
+				c.conn.Close()
+			}
+		}()
+	}
+}
+
 // garbage writes entries that name no member.
 func (s *Soak) garbage(e Event) func() {
 	keys := []string{}
--- a/egretlab/soak/ledger_test.go
+++ b/egretlab/soak/ledger_test.go
@@ -192,6 +192,30 @@
 				s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: id, Text: "READ a", Transaction: 3})
 			}
 		}},
+		{name: "first statement without an answer in a new transaction", story: func(s *story) {
+			c := primary()
+			s.Sending(c, "a", "READ a", s.now, "t")
+			for n := range uint64(2) {
+				s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "a", Text: "READ a", Signature: "s", Transaction: 3 + n})
+			}
+			s.Answered("a", nil, "s", "")
+			s.Sending(c, "b", "READ a", s.now, "t")
+			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "b", Text: "READ a", Transaction: 4})
+		}},
+		{name: "later statement in a new transaction", rule: "PINNED", story: func(s *story) {
+			c := primary()
+			s.Sending(c, "a", "READ a", s.now, "t")
+			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "a", Text: "READ a", Signature: "s", Transaction: 3})
+			s.Answered("a", nil, "s", "")
+			s.Sending(c, "b", "READ a", s.now, "t")
+			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "b", Text: "READ a", Transaction: 4})
+		}},
+		{name: "answered statement in a new transaction", rule: "PINNED", story: func(s *story) {
+			s.Sending(primary(), "a", "READ a", s.now, "t")
+			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "a", Text: "READ a", Signature: "s", Transaction: 3})
+			s.Answered("a", nil, "s", "")
+			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "a", Text: "READ a", Transaction: 4})
+		}},
 		{name: "statement outside its transaction", rule: "PINNED", story: func(s *story) {
 			s.Sending(primary(), "a", "READ a", s.now, "t")
 			s.Ran(dbsim.Run{Service: "orders", Member: "m", ID: "a", Text: "READ a"})
