group: the way to a member is read under the lane's lock

Found by TestSeeds of the soak, whose proxies run with the race detector (seed 4): run read a member's distance without the lock, while connect, which learns it from each handshake, wrote it. A read could plan with a torn figure of how long an answer may take.

The members of the tests take a while to connect and get nearer with each connection, so that the two meet.

--- a/egretlab/soak/ledger.go
+++ b/egretlab/soak/ledger.go
@@ -88,9 +88,9 @@
 	// transaction names the transaction of the caller, or is empty.
 	transaction string
 
-	// answered and promised say that its caller has an answer, and that it promises that nothing is
-	// kept.
-	answered, promised bool
+	// ran says that a member ran it, answered that its caller has an answer, and promised that this
+	// answer promises that nothing is kept.
+	ran, answered, promised bool
 }
 
 // place is a transaction of a member.
@@ -208,6 +208,13 @@
 	}
 }
 
+// HasRun reports whether a member ran a statement.
+func (l *Ledger) HasRun(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requests[id].ran
+}
+
 // Unanswered notes a statement that got no answer.
 func (l *Ledger) Unanswered() {
 	l.mu.Lock()
@@ -252,6 +259,7 @@
 		l.violate("UNASKED", "%s ran %s %q, which no caller sent", r.Member, r.ID, r.Text)
 		return
 	}
+	q.ran = true
 	if r.Signature != "" {
 		l.runs[r.Signature] = r
 	}
--- /dev/null
+++ b/egretlab/soak/run_test.go
@@ -0,0 +1,59 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// TestSeeds plays seeds with real processes: one of planned work, one of faults with synchronous
+// replicas, and those that once failed. The logs of a run that fails stay.
+func TestSeeds(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "egretlane")
+	build := exec.Command("go", "build", "-race", "-o", program, ".")
+	build.Dir = filepath.Join("..", "..", "egretlane")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building egretlane: %v\n%s", err, out)
+	}
+	for _, c := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{seed: 4, cause: "planned work only"},
+		{seed: 51, cause: "faults and synchronous replicas"},
+		{seed: 102, cause: "a write that was given up ran when a cut ended, as its connection wasn't reset"},
+	} {
+		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+			folder, err := os.MkdirTemp("", "egret-soak-")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &Soak{
+				Program:  program,
+				Folder:   folder,
+				Plan:     NewPlan(c.seed, 30*time.Second),
+				Proxies:  4,
+				Services: 2,
+				Callers:  3,
+				Log:      t.Logf,
+			}
+			r, err := s.Run(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Violations {
+				t.Errorf("%s after %s: %s", v.Rule, v.At, v.What)
+			}
+			if t.Failed() {
+				t.Logf("%s: the logs are in %s", c.cause, folder)
+				return
+			}
+			if err := os.RemoveAll(folder); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -277,3 +277,34 @@
 		}
 	}
 }
+
+// TestReadsBesideNewConnections opens connections, each of which tells more of the way to its member,
+// while reads plan with it. The race detector finds what isn't guarded.
+func TestReadsBesideNewConnections(t *testing.T) {
+	s := newFakeService()
+	for _, id := range []string{"a", "b", "c"} {
+		s.member(id, func(m *fakeMember) { m.work, m.connect = time.Millisecond, 3*time.Millisecond })
+	}
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	wg := sync.WaitGroup{}
+	for range 4 {
+		wg.Go(func() {
+			for range 40 {
+				l.Stream().Do(context.Background(), read("1"))
+			}
+		})
+	}
+	for range 4 {
+		stream := l.Stream()
+		defer stream.Close()
+		w := read("1")
+		w.Begin = egret.VerbBeginRead
+		if a := stream.Do(context.Background(), w); a.Fault.Kind != egret.FaultNone {
+			t.Errorf("begin %+v", a)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Wait()
+}
--- a/group/stream.go
+++ b/group/stream.go
@@ -197,13 +197,9 @@
 func (l *Lane) run(c *conn, it *sched.Item, w *egret.Work, try int) (egret.Answer, bool) {
 	m := c.member
 	floor := l.sendFloor(m, it, w)
-	l.mu.Lock()
-	slowness := m.view.Slowness
-	l.mu.Unlock()
 	deadline := it.Deadline
 	if it.Need == sched.NeedAny && try < maxTries-1 {
-		patience := time.Duration(float64(it.Cost)*slowness)*trySlowness + m.view.Distance
-		deadline = min(deadline, clock.Now().Add(max(minTry, patience)))
+		deadline = min(deadline, clock.Now().Add(max(minTry, l.patience(m, it))))
 	}
 	sent := clock.Now()
 	commands := append(c.setup(w, false), statement(w, floor))
@@ -226,6 +222,13 @@
 	return l.judge(m, it, w, a)
 }
 
+// patience returns how long an answer of the member may take before the statement is tried elsewhere.
+func (l *Lane) patience(m *member, it *sched.Item) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(float64(it.Cost)*m.view.Slowness)*trySlowness + m.view.Distance
+}
+
 // setupDone reports whether all commands before the statement were done.
 func setupDone(answers []egret.Answer) bool {
 	for _, a := range answers[:len(answers)-1] {
