--- a/egretlab/soak/faults.go
+++ b/egretlab/soak/faults.go
@@ -65,12 +65,12 @@
 	Synchronous int    `json:"sync_replicas"`
 }
 
-// configure writes the next version with the routes. The caller holds mu.
-func (s *Soak) configure(routes []route) {
+// configure writes the next version of the configuration. The caller holds mu.
+func (s *Soak) configure() {
 	s.config.Version += 3
 	s.config.Limits = map[string]int{"tx_idle_ms": 2000}
 	s.config.Routes, s.config.Services = nil, nil
-	for _, r := range routes {
+	for _, r := range append(s.routes(), s.extras...) {
 		kind := map[egret.RouteKind]string{egret.RoutePrimary: "primary", egret.RouteBounded: "bounded", egret.RouteSession: "session"}[r.kind]
 		s.config.Routes = append(s.config.Routes, configRoute{
 			Name:    r.database,
@@ -170,18 +170,20 @@
 		service:  s.groups[e.Target%len(s.groups)].Service,
 		kind:     egret.RoutePrimary,
 	}
-	s.mu.Lock()
-	s.configure(append(s.routes(), extra))
-	s.mu.Unlock()
-	since := time.Now()
-	pause(ctx, configBound)
-	s.checkRoute(extra, since, true)
-	s.mu.Lock()
-	s.configure(s.routes())
-	s.mu.Unlock()
-	since = time.Now()
-	pause(ctx, configBound)
-	s.checkRoute(extra, since, false)
+	for _, present := range []bool{true, false} {
+		s.mu.Lock()
+		s.extras = slices.DeleteFunc(s.extras, func(r route) bool {
+			return r == extra
+		})
+		if present {
+			s.extras = append(s.extras, extra)
+		}
+		s.configure()
+		s.mu.Unlock()
+		since := time.Now()
+		pause(ctx, configBound)
+		s.checkRoute(extra, since, present)
+	}
 }
 
 // checkRoute checks that all proxies that run undisturbed know the database, or that none does.
--- a/egretlab/soak/soak.go
+++ b/egretlab/soak/soak.go
@@ -75,6 +75,7 @@
 	// mu guards the fields below. It comes before locks of the stand-ins.
 	mu       sync.Mutex
 	config   config
+	extras   []route
 	disturbs int
 	calmFrom time.Time
 	tail     [2]int
@@ -222,7 +223,7 @@
 		}
 	}
 	s.mu.Lock()
-	s.configure(s.routes())
+	s.configure()
 	s.mu.Unlock()
 	for _, p := range s.proxies {
 		g.Go(func() error {
