egretlab: experiments with several variants, and make demo-platform

The stand-ins, callers and the ledger are those of the soak; all faults of a file are reported at once. `make demo-platform` plays a crash of a primary, a change of the configuration and a planned stop that way.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: all build test check format lint unit generate demo up measure soak mutants clean
+.PHONY: all build test check format lint unit generate demo demo-platform up measure soak mutants clean
 
 all: build
 
@@ -38,6 +38,11 @@
 demo: build
 	@./scripts/demo
 
+# demo-platform plays a failover, a change of the configuration and a planned stop under load, before
+# the stand-ins of the platform.
+demo-platform: build
+	$(BIN)/egretlab experiment --folder .run/demo-platform example/demo-platform.yaml
+
 up: build
 	@./scripts/up
 
--- /dev/null
+++ b/egretlab/experiment_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"egretlane.example/egret/egretlab/soak"
+)
+
+// TestFaultsOfAnExperiment checks that all faults of a file are reported at once, with their places.
+func TestFaultsOfAnExperiment(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "e.yaml")
+	text := "length: 5s\nevents:\n- {at: 1s, kind: nothing}\n- {at: 0s, for: 9s, kind: kill-proxy, target: -1}\nvariants: [{name: a/b}]\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := readExperiment(path)
+	if err == nil {
+		t.Fatal("no fault found")
+	}
+	for _, place := range []string{"events[0].kind", "events[1].at: doesn't end", "events[1].at: before", "events[1].target", "variants[0].name", "variants[0].program"} {
+		if !strings.Contains(err.Error(), place) {
+			t.Errorf("%q is missing in %v", place, err)
+		}
+	}
+	if err := os.WriteFile(path, []byte("lasts: 5s\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readExperiment(path); err == nil || !strings.Contains(err.Error(), "line 1") {
+		t.Errorf("unknown name: %v", err)
+	}
+}
+
+func TestExampleExperimentsAreValid(t *testing.T) {
+	for _, name := range []string{"experiment", "demo-platform"} {
+		if _, err := readExperiment("../example/" + name + ".yaml"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	r := &soak.Report{
+		Whole: soak.Moment{
+			Served: 4000,
+			Failed: 2,
+			Median: 1234 * time.Microsecond,
+			High:   12345 * time.Microsecond,
+		},
+		Moments: []soak.Moment{{
+			Served: 4000,
+		}, {
+			At:     time.Second,
+			Failed: 2,
+		}},
+		Gap:        time.Second,
+		Promotions: 1,
+		Processor:  2 * time.Second,
+	}
+	outcomes := []outcome{{
+		Variant: "now",
+		Report:  r,
+	}}
+	table := bytes.Buffer{}
+	if err := writeTable(&table, outcomes); err != nil {
+		t.Fatal(err)
+	}
+	want := "variant  served  failed  median  99%     gap  promotions  broken promises  processor  per 1,000 served\n" +
+		"now      4000    2       1.23ms  12.3ms  1s   1           0                2s         500ms\n"
+	if table.String() != want {
+		t.Errorf("got\n%swant\n%s", table.String(), want)
+	}
+	path := filepath.Join(t.TempDir(), "plot.png")
+	if err := plotOutcomes(outcomes, path); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil || !bytes.HasPrefix(data, []byte("\x89PNG")) {
+		t.Errorf("no picture: %v", err)
+	}
+}
--- a/egretlab/main.go
+++ b/egretlab/main.go
@@ -38,6 +38,7 @@
 			linksCommand(),
 			measureCommand(),
 			soakCommand(),
+			experimentCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/egretlab/plot.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"image/color"
+	"os"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"egretlane.example/egret/egretlab/soak"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 18 * vg.Centimeter
+)
+
+// plotColours are those of the variants, in turn.
+var plotColours = []color.Color{
+	color.RGBA{R: 31, G: 119, B: 180, A: 255},
+	color.RGBA{R: 214, G: 39, B: 40, A: 255},
+	color.RGBA{R: 44, G: 160, B: 44, A: 255},
+	color.RGBA{R: 148, G: 103, B: 189, A: 255},
+}
+
+// plotOutcomes draws the served part and the 99th percentile over time, a line for each variant.
+func plotOutcomes(outcomes []outcome, path string) error {
+	served, err := newPlot(outcomes, "served part", func(m soak.Moment) float64 {
+		return float64(m.Served) / float64(max(1, m.Served+m.Failed))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	served.Y.Min, served.Y.Max = 0, 1
+	high, err := newPlot(outcomes, "99th percentile, ms", func(m soak.Moment) float64 {
+		return m.High.Seconds() * 1000
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	img := vgimg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{
+		Rows: 2,
+		Cols: 1,
+		PadY: vg.Centimeter,
+	}
+	grid := [][]*plot.Plot{{served}, {high}}
+	canvases := plot.Align(grid, tiles, draw.New(img))
+	for i := range grid {
+		grid[i][0].Draw(canvases[i][0])
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := (vgimg.PngCanvas{Canvas: img}).WriteTo(f); err != nil {
+		_ = f.Close()
+		return errors.Trace(err)
+	}
+	return errors.Trace(f.Close())
+}
+
+// newPlot draws a figure of the moments.
+func newPlot(outcomes []outcome, title string, figure func(m soak.Moment) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "seconds"
+	p.Legend.Top = true
+	for i, o := range outcomes {
+		points := plotter.XYs{}
+		for _, m := range o.Report.Moments {
+			points = append(points, plotter.XY{
+				X: m.At.Seconds(),
+				Y: figure(m),
+			})
+		}
+		l, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		l.Color = plotColours[i%len(plotColours)]
+		p.Add(l)
+		p.Legend.Add(o.Variant, l)
+	}
+	return p, nil
+}
--- a/egretlab/soak/caller.go
+++ b/egretlab/soak/caller.go
@@ -198,7 +198,7 @@
 		c.soak.broken(c, id, text, sent, begun, err)
 		return err
 	}
-	c.soak.note(fault == "")
+	c.soak.note(sent, fault == "")
 	verb, _, _ := strings.Cut(text, " ")
 	if fault != "" && (verb == "SET" || verb == "PREPARE" || verb == "CLOSE") {
 		return errSession
--- a/egretlab/soak/plan.go
+++ b/egretlab/soak/plan.go
@@ -73,13 +73,13 @@
 // Event is something that happens during a soak.
 type Event struct {
 	// At is the time since the start, For how long it lasts.
-	At  time.Duration `json:"at"`
-	For time.Duration `json:"for"`
+	At  time.Duration `json:"at" yaml:"at"`
+	For time.Duration `json:"for" yaml:"for"`
 
-	Kind Kind `json:"kind"`
+	Kind Kind `json:"kind" yaml:"kind"`
 
 	// Target chooses a proxy, a member or a service: the index is its remainder.
-	Target int `json:"target"`
+	Target int `json:"target" yaml:"target"`
 }
 
 // Plan is what happens during a soak.
--- a/egretlab/soak/proxy.go
+++ b/egretlab/soak/proxy.go
@@ -43,6 +43,7 @@
   promotion: %s
 limits: {memory-mb: 400, descriptors: 4096}
 shutdown-grace: %s
+log-rate: %d
 `
 
 // proxy is a process of the program that is tried. It is started again whenever it ends.
@@ -57,6 +58,9 @@
 
 	program, folder string
 
+	// logRate is the setting, or 0 for the default.
+	logRate int
+
 	// ended is called when the process ended though nobody told it to.
 	ended func(what string)
 
@@ -67,6 +71,9 @@
 	stopped  time.Time
 	misses   int
 	started  time.Time
+
+	// processor is the processor time of all processes that have ended.
+	processor time.Duration
 }
 
 func (p *proxy) settings() string {
@@ -79,7 +86,7 @@
 
 // run keeps a process until the context ends, and then ends it.
 func (p *proxy) run(ctx context.Context) error {
-	text := fmt.Sprintf(settingsFile, p.name, p.domain, p.region, p.callers, p.readiness, p.peers, p.store, p.promotion, grace)
+	text := fmt.Sprintf(settingsFile, p.name, p.domain, p.region, p.callers, p.readiness, p.peers, p.store, p.promotion, grace, p.logRate)
 	if err := os.WriteFile(p.settings(), []byte(text), 0o600); err != nil {
 		return errors.Trace(err)
 	}
@@ -120,6 +127,7 @@
 	err = cmd.Wait()
 	p.mu.Lock()
 	expected := p.expected
+	p.processor += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 	p.mu.Unlock()
 	if !expected && ctx.Err() == nil {
 		p.ended(fmt.Sprintf("%s ended by itself: %v; see %s", p.name, err, p.logFile()))
@@ -160,6 +168,13 @@
 	return p.stopped
 }
 
+// processorTime returns the processor time of the processes that have ended.
+func (p *proxy) processorTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.processor
+}
+
 // runsSince reports whether the present process was started before a time.
 func (p *proxy) runsSince(t time.Time) bool {
 	p.mu.Lock()
--- a/egretlab/soak/soak.go
+++ b/egretlab/soak/soak.go
@@ -61,6 +61,9 @@
 	// Proxies, Services and Callers are how many of each run. Callers are those of each route.
 	Proxies, Services, Callers int
 
+	// LogRate is the setting of the proxies. Zero takes their default.
+	LogRate int
+
 	// Log gets a line for each event. It may be nil.
 	Log func(format string, args ...any)
 
@@ -72,6 +75,8 @@
 	ports   ports
 	began   time.Time
 
+	timeline timeline
+
 	// mu guards the fields below. It comes before locks of the stand-ins.
 	mu       sync.Mutex
 	config   config
@@ -90,6 +95,15 @@
 	Served     int `json:"served"`
 	Sent       int `json:"sent"`
 	Promotions int `json:"promotions"`
+
+	// Whole has the figures of the whole run, Moments those over time. Gap is the longest time in
+	// which nothing was served.
+	Whole   Moment        `json:"whole"`
+	Moments []Moment      `json:"moments"`
+	Gap     time.Duration `json:"gap"`
+
+	// Processor is the processor time of all proxies.
+	Processor time.Duration `json:"processor"`
 }
 
 // domains and regions are where proxies and members stand, in turn.
@@ -176,6 +190,11 @@
 		Violations: s.ledger.Violations(),
 	}
 	r.Served, r.Sent = s.ledger.Served()
+	r.Moments, r.Whole = s.timeline.result()
+	r.Gap = longestGap(r.Moments)
+	for _, p := range s.proxies {
+		r.Processor += p.processorTime()
+	}
 	for _, g := range s.groups {
 		r.Promotions += g.Promotions()
 	}
@@ -307,6 +326,7 @@
 		promotion: s.ports.free(),
 		program:   s.Program,
 		folder:    s.Folder,
+		logRate:   s.LogRate,
 		ended: func(what string) {
 			s.ledger.Broken("FAULT", what)
 		},
@@ -475,10 +495,16 @@
 	return s.proxies[first]
 }
 
-// note counts a statement after all faults.
-func (s *Soak) note(served bool) {
+// note counts a statement that ended.
+func (s *Soak) note(sent time.Time, served bool) {
+	if s.began.IsZero() {
+		// The proxies are only being waited for.
+		return
+	}
+	s.timeline.note(time.Since(s.began), time.Since(sent), served)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// What is served after all faults is judged.
 	if time.Since(s.began) < s.Plan.Length-calm+recoveryTime {
 		return
 	}
@@ -490,7 +516,7 @@
 
 // broken judges a statement whose connection ended without an answer.
 func (s *Soak) broken(c *caller, id, text string, sent, begun time.Time, cause error) {
-	s.note(false)
+	s.note(sent, false)
 	stopped := c.proxy.stopping()
 	if stopped.IsZero() || time.Since(stopped) > grace+dutyAfter || !s.quiet(sent.Add(-contact)) {
 		return
