group: a member that takes connections and answers nothing counts as lost

Found by make demo-platform: a primary crashed for 4 s and no replica was promoted. Its port was served by a relay that goes on to accept.

Cause: a member was lost only if a TCP connection to it failed. A process that hangs, or a forwarder whose process is gone, accepts and answers nothing, while all that is sent there fails. Ruled out: the recorded primary and the holder (both were right all the time).

A member that was asked and has answered nothing for 0.8 s now has to answer a start, on a connection that is kept; one that answers, also with a refusal, stays.

--- a/group/conn.go
+++ b/group/conn.go
@@ -27,6 +27,10 @@
 	// silentAfter is how long a statement runs before its member is checked. Most statements take a
 	// small part of it.
 	silentAfter = 300 * time.Millisecond
+
+	// muteAfter is how long a member that takes connections may answer nothing before it has to
+	// answer a start. It is above what a statement takes on a slow member.
+	muteAfter = 800 * time.Millisecond
 )
 
 // conn is a connection to a member with the session state that it carries.
@@ -136,7 +140,7 @@
 		m.view.Distance = trip
 	}
 	l.mu.Unlock()
-	l.reached(m, bc.Started())
+	l.answered(m, bc.Started())
 	return &conn{
 		backend:  bc,
 		member:   m,
@@ -258,6 +262,7 @@
 	for _, m := range l.members {
 		for _, at := range m.started {
 			if at != 0 && now.Sub(at) > silentAfter {
+				m.unheard(at)
 				l.check(m)
 				break
 			}
@@ -265,6 +270,13 @@
 	}
 }
 
+// unheard notes that what was sent at a time has no answer. The caller holds the lane's mu.
+func (m *member) unheard(sent clock.Time) {
+	if m.mute == 0 {
+		m.mute = max(sent, m.heard)
+	}
+}
+
 // check finds out in the background whether the member can be reached. The caller holds mu.
 func (l *Lane) check(m *member) {
 	if m.checking || l.ended {
@@ -276,6 +288,9 @@
 
 func (l *Lane) checkMember(m *member, b egret.Backend) {
 	err := l.Dialer.Reachable(context.Background(), b)
+	if err == nil {
+		err = l.hear(m, b)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
@@ -307,6 +322,34 @@
 	})
 }
 
+// hear asks a member that has been mute for too long for an answer. A port that takes connections may
+// belong to a process that hangs, or to a forwarder whose process is gone.
+func (l *Lane) hear(m *member, b egret.Backend) error {
+	l.mu.Lock()
+	mute := m.mute != 0 && clock.Since(m.mute) > muteAfter
+	if mute {
+		m.open++
+	}
+	l.mu.Unlock()
+	if !mute {
+		return nil
+	}
+	c, err := l.connect(context.Background(), m, b)
+	if err == nil {
+		l.give(c)
+		return nil
+	}
+	l.mu.Lock()
+	m.open--
+	l.mu.Unlock()
+	refused := &egret.RefusedError{}
+	if errors.As(err, &refused) {
+		l.answered(m, egret.Position{})
+		return nil
+	}
+	return err
+}
+
 // checked allows the next check of the member.
 func (l *Lane) checked(m *member) {
 	l.mu.Lock()
--- a/group/dispatch.go
+++ b/group/dispatch.go
@@ -177,13 +177,14 @@
 	})
 }
 
-// reached notes the position that a member told.
-func (l *Lane) reached(m *member, p egret.Position) {
+// answered notes that a member answers, and the position that it told.
+func (l *Lane) answered(m *member, p egret.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m.mute, m.heard = 0, clock.Now()
 	if p.IsZero() {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if p.Compare(m.view.Position) > 0 {
 		m.view.Position = p
 		m.lag /= 2
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -37,6 +37,9 @@
 	// frozen says that a replica receives nothing.
 	frozen bool
 
+	// mute makes a member that takes connections answer nothing.
+	mute bool
+
 	// silent makes statements that are sent go unanswered after they ran.
 	silent bool
 
@@ -104,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.members[b.ID]
-	if m.down {
+	if m.down || m.mute {
 		return nil, 0, errDown
 	}
 	m.connections++
@@ -170,7 +173,7 @@
 	s := c.member.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.member.down {
+	if c.member.down || c.member.mute {
 		return egret.BackendStatus{}, errDown
 	}
 	return egret.BackendStatus{
@@ -206,7 +209,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m.down || c.closed {
+	if m.down || m.mute || c.closed {
 		return egret.Answer{}, errDown
 	}
 	if !k.Floor.IsZero() && !m.position.Reaches(k.Floor) {
--- a/group/lane.go
+++ b/group/lane.go
@@ -123,6 +123,10 @@
 	down  bool
 	downs int
 
+	// mute is since when the member has answered nothing, though it was asked. It is zero if it has
+	// answered since. heard is its last answer.
+	mute, heard clock.Time
+
 	// checking says that a goroutine finds out whether the member can be reached.
 	checking bool
 
@@ -199,6 +203,7 @@
 		m.view.Position = egret.Position{}
 		m.view.Slowness = 1
 		m.down = false
+		m.mute = 0
 	}
 	m.backend = b
 	m.missing = 0
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -348,3 +348,46 @@
 		})
 	}
 }
+
+// TestMutePrimaryIsReplaced lets a primary take connections and answer nothing, as a process that hangs
+// or a forwarder without its process does.
+func TestMutePrimaryIsReplaced(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone {
+		t.Fatalf("%+v", a)
+	}
+	s.member("a", func(m *fakeMember) { m.mute = true })
+	began := time.Now()
+	eventually(t, "another primary", func() bool {
+		w := write("2")
+		w.Timeout = 500 * time.Millisecond
+		a := l.Stream().Do(context.Background(), w)
+		return a.Fault.Kind == egret.FaultNone && a.Member != "a"
+	})
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("writes were served again after %s", took)
+	}
+}
+
+// TestSlowPrimaryStays lets statements of a primary take longer than a mute member is given, while it
+// answers new connections.
+func TestSlowPrimaryStays(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.Update(s.backends())
+	led(t, l)
+	s.member("a", func(m *fakeMember) { m.work = 2 * muteAfter })
+	for range 2 {
+		if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+			t.Errorf("answer %+v, want one of a", a)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.promoted) > 0 {
+		t.Errorf("%q was promoted", s.promoted)
+	}
+}
--- a/group/lead.go
+++ b/group/lead.go
@@ -129,17 +129,20 @@
 		l.unconnected(m, err)
 		return r
 	}
+	asked := clock.Now()
 	r.status, r.err = c.backend.Status(time.Now().Add(statusTimeout))
 	if r.err != nil {
 		l.discard(c)
 		refused := &egret.RefusedError{}
 		if !errors.As(r.err, &refused) {
 			l.mu.Lock()
+			m.unheard(asked)
 			l.check(m)
 			l.mu.Unlock()
 		}
 		return r
 	}
+	l.answered(m, egret.Position{})
 	l.give(c)
 	return r
 }
--- a/group/stream.go
+++ b/group/stream.go
@@ -187,11 +187,13 @@
 func (l *Lane) unconnected(m *member, err error) {
 	refused := &egret.RefusedError{}
 	if errors.As(err, &refused) {
+		l.answered(m, egret.Position{})
 		l.rest(m, busyRest)
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	m.unheard(clock.Now())
 	m.rested = clock.Now().Add(busyRest)
 	l.check(m)
 }
@@ -248,7 +250,7 @@
 	if l.Counts != nil {
 		l.Counts.Ran(w.Route, a.Fault.Kind, elapsed)
 	}
-	l.reached(m, a.Position)
+	l.answered(m, a.Position)
 	if a.Fault.Kind != egret.FaultNone {
 		l.Trail.Event("member-refused").Str("request", w.Query.ID).Str("service", l.Service).Str("member", m.backend.ID).
 			Str("fault", a.Fault.Kind.String()).Str("floor", it.Floor.String()).Str("position", a.Position.String()).
@@ -324,6 +326,7 @@
 	l.discard(c)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.member.unheard(sent)
 	l.check(c.member)
 }
 
--- a/group/transact.go
+++ b/group/transact.go
@@ -63,7 +63,7 @@
 		}, false
 	}
 	a := answers[len(answers)-1]
-	l.reached(m, a.Position)
+	l.answered(m, a.Position)
 	if a.Fault.Kind == egret.FaultNone && a.Status == egret.TxOpen && setupDone(answers) {
 		return a, true
 	}
