fleet, egretlane: a proxy that is cut off turns callers away

Cause: readiness asked only for a configuration. And "nobody can run it" didn't count a holder that answers but has given up (two proxies cut off together), nor a right of the process's own that has lapsed.

Its own lapsed right refuses its callers at once; other proxies are still told by a move, from which they learn that it gave up.

--- a/claim/holding.go
+++ b/claim/holding.go
@@ -17,6 +17,13 @@
 	return c.mine != 0 && clock.Now() < c.validUntil
 }
 
+// Asked reports whether this process holds the service, or will once the former holder's right has ended.
+func (c *Claim) Asked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mine != 0
+}
+
 // Left returns how long the right lasts without a renewal.
 func (c *Claim) Left() time.Duration {
 	c.mu.Lock()
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -47,8 +47,8 @@
 	front     *front.Server
 	meters    *meters
 
-	// leaving says that the process shuts down.
-	leaving atomic.Bool
+	// leaving says that the process shuts down, isolated that other processes serve callers better.
+	leaving, isolated atomic.Bool
 }
 
 // newNode assembles the process.
@@ -136,6 +136,7 @@
 	g.Go(func() error { return n.directory.operatorKeys.Run(work) })
 	g.Go(func() error { return n.directory.watchMembers(work, func() bool { return len(n.fleet.Lanes()) > 0 }) })
 	g.Go(func() error { return n.front.Serve(work, callers) })
+	g.Go(func() error { return n.watchReach(work) })
 	select {
 	case <-ctx.Done():
 		n.shutDown(callers)
@@ -176,7 +177,7 @@
 
 // ready reports whether the process takes callers.
 func (n *node) ready() bool {
-	return !n.leaving.Load() && n.directory.tables.Load() != nil
+	return !n.leaving.Load() && !n.isolated.Load() && n.directory.tables.Load() != nil
 }
 
 // configured puts a newer configuration into force.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,12 +28,18 @@
 	t.Cleanup(f.Pool.Close)
 	f.Init()
 	f.Configure([]string{"s"})
-	data, err := json.Marshal(claim.Record{Node: "other", Incarnation: "1", Address: holder})
+	f.reset(holderItems(t, 5, claim.Record{Node: "other", Incarnation: "1", Address: holder}))
+	return f
+}
+
+// holderItems returns the items of a store that has the holder of service "s" at a revision.
+func holderItems(t *testing.T, revision uint64, r claim.Record) []egret.Item {
+	t.Helper()
+	data, err := json.Marshal(r)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.reset([]egret.Item{{Key: claim.Prefix + "s", Data: data, Revision: 5}})
-	return f
+	return []egret.Item{{Key: claim.Prefix + "s", Data: data, Revision: revision}}
 }
 
 func work() egret.Work {
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -106,7 +106,8 @@
 		if left < leastTime || ctx.Err() != nil {
 			return r.refuse(w, last)
 		}
-		if cause := r.fleet.hopeless(w.Service); cause != "" {
+		// Other proxies are told by a move, as they may know more.
+		if cause := r.fleet.hopeless(w.Service); cause != "" && r.detours {
 			return r.refuse(w, cause)
 		}
 		if !r.connect(r.find(w.Service)) {
@@ -159,7 +160,7 @@
 }
 
 // hopeless says why nobody can run the service's statements in the next moments, or "". Without the
-// store, nobody can succeed a holder that is lost.
+// store, nobody can succeed a holder that is lost or has given up.
 func (f *Fleet) hopeless(service string) string {
 	lost := clock.Time(f.storeLost.Load())
 	c := f.Claim(service)
@@ -167,8 +168,15 @@
 		return ""
 	}
 	s, known := c.Seen()
-	if !known || s.Revision == 0 || s.Record.Node == f.Self.ID {
+	switch {
+	case !known || s.Revision == 0:
+		return ""
+	case s.Record.Node == f.Self.ID && !c.Asked():
+		return "this process has lost its right to the service, and the store gives no answer to renew it"
+	case s.Record.Node == f.Self.ID:
 		return ""
+	case f.GaveUp(s.Revision):
+		return "the holder has given up the service, and the store gives no answer to replace it"
 	}
 	_, asked := f.Pool.Heard(s.Record.Address)
 	if asked == 0 || clock.Since(asked) < hopelessAfter {
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/clock"
 )
 
 // TestDrainDoesNotForwardAfterClose lets a statement arrive at the moment at which Drain closes the
@@ -144,3 +145,40 @@
 		t.Errorf("%d sessions are left", left)
 	}
 }
+
+// TestSessionsOpenedLaterStay ends a resting session, and not one that was opened after the given time.
+func TestSessionsOpenedLaterStay(t *testing.T) {
+	s := serverOf(&fakeStream{
+		do: func(egret.Work) egret.Answer { return egret.Answer{Signature: "s"} },
+	})
+	ended := make(chan string, 2)
+	open := func(name string) *fakeConn {
+		c := newFakeConn("orders")
+		go func() {
+			s.serve(context.Background(), c)
+			ended <- name
+		}()
+		<-c.waiting
+		return c
+	}
+	early := open("early")
+	once := sync.Once{}
+	early.closing = func() {
+		once.Do(func() { close(early.queries) })
+	}
+	between := clock.Now()
+	late := open("late")
+	if left := s.EndResting(0, between); left != 2 {
+		t.Errorf("%d sessions, want both until they have ended", left)
+	}
+	if name := <-ended; name != "early" {
+		t.Errorf("%s ended first", name)
+	}
+	select {
+	case name := <-ended:
+		t.Errorf("%s ended too", name)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(late.queries)
+	<-ended
+}
--- a/front/server.go
+++ b/front/server.go
@@ -98,7 +98,7 @@
 	s.draining.Store(true)
 	began := clock.Now()
 	for {
-		left := s.endResting(rest)
+		left := s.EndResting(rest, clock.Now())
 		if left == 0 || clock.Since(began) >= limit {
 			return left
 		}
@@ -106,12 +106,16 @@
 	}
 }
 
-// endResting ends the sessions that have rested for the time and returns how many are left.
-func (s *Server) endResting(d time.Duration) int {
+// EndResting ends the sessions that have rested for the time and were opened before another. It returns
+// how many are left. Their callers open others.
+func (s *Server) EndResting(d time.Duration, before clock.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
 	for e := range s.sessions {
+		if e.opened > before {
+			continue
+		}
 		if now.Sub(clock.Time(e.rested.Load())) >= d && e.phase.CompareAndSwap(phaseResting, phaseEnded) {
 			e.conn.Close()
 		}
@@ -139,6 +143,7 @@
 		server:   s,
 		conn:     c,
 		database: database,
+		opened:   clock.Now(),
 		prepared: map[string]egret.Prepared{},
 		stream:   s.Open(),
 	}
--- a/front/session.go
+++ b/front/session.go
@@ -61,6 +61,9 @@
 	// arrives while the session is being ended is either served whole or never sent to a member.
 	phase atomic.Int32
 
+	// opened is when the session began.
+	opened clock.Time
+
 	// rested is when the session began to rest, as a clock.Time.
 	rested atomic.Int64
 }
