link: forget proxies that are gone, and tests of the package

Pool.Forget had no caller, so that the connections to proxies that had left for good were dialled again for ever. The fleet now prunes each minute those that have left a question open for that long; a proxy that answers or isn't asked stays.

The package had no tests of its own. TestEveryFieldCrosses fills a statement and an answer by reflection and sends them through a server: nothing is lost on the way but Query.Writes, which belongs to a definition and isn't sent by itself. TestLostProxyIsToldApart and TestPruneForgetsSilentProxies cover the rest.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -26,6 +26,10 @@
 	// doubtAfter is how long a holder doesn't answer before other proxies are asked about it.
 	doubtAfter = 250 * time.Millisecond
 
+	// pruneInterval is how often proxies that are gone are looked for, and how long one that is asked
+	// answers nothing until then. It is far above any cut that a holder survives.
+	pruneInterval = time.Minute
+
 	// askPause is the time between two rounds of questions about a proxy.
 	askPause = 250 * time.Millisecond
 
@@ -193,12 +197,17 @@
 func (f *Fleet) listen(ctx context.Context) error {
 	tick := time.NewTicker(listenInterval)
 	defer tick.Stop()
+	pruned := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 			f.pingHolders(ctx)
+			if clock.Since(pruned) > pruneInterval {
+				pruned = clock.Now()
+				f.Pool.Prune(pruneInterval)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,163 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/claim"
+)
+
+// fakeHost answers statements with a function.
+type fakeHost struct {
+	do func(w egret.Work) egret.Answer
+}
+
+func (h *fakeHost) Incarnation() string                                 { return "1" }
+func (h *fakeHost) Node() string                                        { return "host" }
+func (h *fakeHost) Leaving() bool                                       { return false }
+func (h *fakeHost) GivenUp() []uint64                                   { return []uint64{7} }
+func (h *fakeHost) Promise(string, claim.Promise) bool                  { return true }
+func (h *fakeHost) Changes(string, uint64) ([]egret.Item, uint64, bool) { return nil, 0, false }
+func (h *fakeHost) Stream(bool) egret.Stream                            { return h }
+func (h *fakeHost) Close()                                              {}
+func (h *fakeHost) Do(_ context.Context, w egret.Work) egret.Answer     { return h.do(w) }
+func (h *fakeHost) Clear(string, uint64) (time.Duration, claim.Intent)  { return 0, claim.Intent{} }
+func (h *fakeHost) Hear(context.Context, netip.AddrPort) (string, error) {
+	return "", errors.NotFoundf("proxy")
+}
+
+// serveHost serves a host until the test ends, and returns its address and what ends it before.
+func serveHost(t *testing.T, h Host) (netip.AddrPort, func()) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Server{
+		Host: h,
+	}
+	g := s.NewGRPC()
+	go func() { _ = g.Serve(l) }()
+	t.Cleanup(g.Stop)
+	return netip.MustParseAddrPort(l.Addr().String()), g.Stop
+}
+
+func newPool(t *testing.T) *Pool {
+	t.Helper()
+	p := &Pool{}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// fill sets all fields of a struct to values that differ, so that one that is forgotten shows.
+func fill(v reflect.Value, next *int64) {
+	*next++
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), next)
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		for i := range v.Len() {
+			fill(v.Index(i), next)
+		}
+	case reflect.String:
+		v.SetString(string(rune('a' + *next%26)))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		v.SetInt(*next)
+	case reflect.Uint8:
+		v.SetUint(uint64(*next % 200))
+	default:
+		v.SetUint(uint64(*next))
+	}
+}
+
+// TestEveryFieldCrosses sends a statement with all its fields, and gets an answer with all of its.
+func TestEveryFieldCrosses(t *testing.T) {
+	w, a, next := egret.Work{}, egret.Answer{}, int64(0)
+	fill(reflect.ValueOf(&w).Elem(), &next)
+	fill(reflect.ValueOf(&a).Elem(), &next)
+	w.Timeout = time.Second
+	w.InTransaction = false
+	// It belongs to the definition of a prepared statement, which is not sent by itself.
+	w.Query.Writes = false
+	seen := egret.Work{}
+	address, _ := serveHost(t, &fakeHost{
+		do: func(w egret.Work) egret.Answer {
+			seen = w
+			return a
+		},
+	})
+	s := newPool(t).Stream(address, true)
+	defer s.Close()
+	got := s.Do(t.Context(), w)
+	if d := cmp.Diff(w, seen); d != "" {
+		t.Errorf("statement (-sent +got):\n%s", d)
+	}
+	if d := cmp.Diff(a, got); d != "" {
+		t.Errorf("answer (-sent +got):\n%s", d)
+	}
+}
+
+// TestLostProxyIsToldApart ends a proxy while a statement runs there, and asks where nobody listens.
+func TestLostProxyIsToldApart(t *testing.T) {
+	var end func()
+	address, stop := serveHost(t, &fakeHost{
+		do: func(egret.Work) egret.Answer {
+			go end()
+			time.Sleep(100 * time.Millisecond)
+			return egret.Answer{}
+		},
+	})
+	end = stop
+	p := newPool(t)
+	s := p.Stream(address, true)
+	defer s.Close()
+	w := egret.Work{
+		Timeout: time.Second,
+	}
+	if a := s.Do(t.Context(), w); a.Fault.Kind != egret.FaultLost {
+		t.Errorf("ended proxy: %+v", a)
+	}
+	w.InTransaction = true
+	if a := s.Do(t.Context(), w); a.Fault.Kind != egret.FaultAborted {
+		t.Errorf("its transaction: %+v", a)
+	}
+}
+
+// TestPruneForgetsSilentProxies asks a proxy that answers and one that is gone.
+func TestPruneForgetsSilentProxies(t *testing.T) {
+	alive, _ := serveHost(t, &fakeHost{})
+	gone, stop := serveHost(t, &fakeHost{})
+	stop()
+	p := newPool(t)
+	if r, err := p.Ping(t.Context(), alive); err != nil || r.GetNode() != "host" || len(r.GetGivenUp()) != 1 {
+		t.Fatalf("%v %v", r, err)
+	}
+	if _, err := p.Ping(t.Context(), gone); err == nil {
+		t.Fatal("a proxy that is gone answered")
+	}
+	if n := p.Prune(time.Hour); n != 0 {
+		t.Errorf("%d proxies were forgotten before their time", n)
+	}
+	if n := p.Prune(0); n != 1 {
+		t.Errorf("%d proxies were forgotten, want 1", n)
+	}
+	if heard, _ := p.Heard(alive); heard == 0 {
+		t.Error("the proxy that answers was forgotten")
+	}
+	if _, asked := p.Heard(gone); asked != 0 {
+		t.Error("the proxy that is gone is still known")
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -152,15 +152,22 @@
 	}
 }
 
-// Forget closes the connection to a proxy that is gone.
-func (p *Pool) Forget(a netip.AddrPort) {
+// Prune forgets proxies that have left a question open for longer than the age, and closes the
+// connections to them. It returns how many there were.
+func (p *Pool) Prune(age time.Duration) int {
 	p.mu.Lock()
-	e := p.peers[a]
-	delete(p.peers, a)
+	gone := []*grpc.ClientConn{}
+	for a, e := range p.peers {
+		if e.asked != 0 && clock.Since(e.asked) > age {
+			gone = append(gone, e.conn)
+			delete(p.peers, a)
+		}
+	}
 	p.mu.Unlock()
-	if e != nil {
-		closeConn(e.conn)
+	for _, conn := range gone {
+		closeConn(conn)
 	}
+	return len(gone)
 }
 
 // answered notes an answer of the proxy.
