spans, front, link, group: a span for each hop of the fleet

The house style asks for a span for each hop; only the PostgreSQL proxy had them. A statement of the fleet now has `caller`, `proxy` and `lane`; the trace travels in Work.traceparent, which is empty while nothing is recorded. `trace.export` and `trace.ratio` are new settings, off unless they are given.

--- a/egretlane/fleet_command.go
+++ b/egretlane/fleet_command.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/grpclog"
 
 	"egretlane.example/egret/setup"
+	"egretlane.example/egret/spans"
 	"egretlane.example/egret/trail"
 )
 
@@ -22,6 +23,9 @@
 // rest is for stacks, sockets and what the collector can't free in time.
 const memoryPart = 70
 
+// flushTime bounds the sending of the last spans at the end of the process.
+const flushTime = 500 * time.Millisecond
+
 // fleetCommand runs a proxy of database groups that register themselves at the platform.
 func fleetCommand() *cli.Command {
 	path := ""
@@ -64,6 +68,21 @@
 		},
 		Rate: s.LogRate,
 	}
+	flush, err := spans.Provider{
+		Export: s.Trace.Export,
+		Node:   s.Node,
+		Ratio:  s.Trace.Ratio,
+	}.Install(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		late, cancel := context.WithTimeout(context.Background(), flushTime)
+		defer cancel()
+		if err := flush(late); err != nil {
+			t.Event("spans-lost").Err(err).Msg("the last spans could not be sent")
+		}
+	}()
 	n := newNode(s, t)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/front/session.go
+++ b/front/session.go
@@ -12,6 +12,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
+	"egretlane.example/egret/spans"
 )
 
 // ownSignature stands for the member's in answers of the proxy itself.
@@ -238,7 +239,9 @@
 	}
 	began := clock.Now()
 	w := e.work(q, r)
+	ctx, span := spans.Start(ctx, "caller", w.Query.ID, w.Service)
 	a := e.stream.Do(ctx, w)
+	spans.End(span, a.Member, a.Fault.Kind.String())
 	e.begin = egret.VerbInvalid
 	if a.Fault.Kind == egret.FaultMoved || a.Fault.Kind == egret.FaultLost {
 		a.Fault.Kind = egret.FaultBusy
--- a/group/stream.go
+++ b/group/stream.go
@@ -10,6 +10,7 @@
 	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/sched"
+	"egretlane.example/egret/spans"
 )
 
 const (
@@ -61,7 +62,9 @@
 	if s.rest != nil {
 		s.rest.Stop()
 	}
+	ctx, span := spans.Start(ctx, "lane", w.Query.ID, w.Service)
 	a := s.do(ctx, &w)
+	spans.End(span, a.Member, a.Fault.Kind.String())
 	if s.conn != nil {
 		s.rest = time.AfterFunc(w.Idle+idleSlack, s.expire)
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -12,6 +12,7 @@
 	"egretlane.example/egret"
 	"egretlane.example/egret/claim"
 	"egretlane.example/egret/internal/linkpb"
+	"egretlane.example/egret/spans"
 )
 
 // Host is the process that a Server answers for.
@@ -81,7 +82,9 @@
 		if stream == nil {
 			stream = s.Host.Stream(m.GetPassOn())
 		}
-		a := stream.Do(g.Context(), workFromWire(m))
+		ctx, span := spans.Start(spans.Resume(g.Context(), m.GetTraceparent()), "proxy", m.GetId(), m.GetService())
+		a := stream.Do(ctx, workFromWire(m))
+		spans.End(span, a.Member, a.Fault.Kind.String())
 		if err := g.Send(answerToWire(&a)); err != nil {
 			return err
 		}
--- a/link/stream.go
+++ b/link/stream.go
@@ -9,6 +9,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/internal/linkpb"
+	"egretlane.example/egret/spans"
 )
 
 const (
@@ -53,6 +54,7 @@
 	}
 	m := workToWire(&w)
 	m.PassOn = s.passOn
+	m.Traceparent = spans.Carry(ctx)
 	late := time.AfterFunc(w.Timeout+answerSlack, s.cancel)
 	defer late.Stop()
 	slow := time.AfterFunc(slowAnswer, func() { s.pool.check(s.address) })
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"go.yaml.in/yaml/v3"
+
+	"egretlane.example/egret/spans"
 )
 
 // Settings are those of one process.
@@ -41,6 +43,9 @@
 	// ShutdownGrace is the time from SIGTERM to the end of the process, at most.
 	ShutdownGrace Duration `yaml:"shutdown-grace"`
 
+	// Trace says where spans go.
+	Trace Trace `yaml:"trace"`
+
 	// LogRate is how many lines a second each cause may write. Zero takes a default.
 	LogRate int `yaml:"log-rate"`
 }
@@ -69,6 +74,15 @@
 	Descriptors int   `yaml:"descriptors"`
 }
 
+// Trace says where the spans of requests go.
+type Trace struct {
+	// Export is off, stdout or otlp.
+	Export spans.Export `yaml:"export"`
+
+	// Ratio is the part of requests that is recorded, from 0 to 1.
+	Ratio float64 `yaml:"ratio"`
+}
+
 // Duration is a time.Duration that is written as in "1.5s".
 type Duration time.Duration
 
@@ -96,6 +110,9 @@
 func Parse(data []byte) (*Settings, error) {
 	s := &Settings{
 		ShutdownGrace: Duration(5 * time.Second),
+		Trace: Trace{
+			Export: spans.ExportOff,
+		},
 	}
 	if err := yaml.Unmarshal(data, s); err != nil {
 		return nil, err
@@ -121,6 +138,12 @@
 	check(s.ShutdownGrace > 0, "shutdown-grace", "must be above zero")
 	check(s.Limits.MemoryMB >= 0, "limits.memory-mb", "must not be negative")
 	check(s.Limits.Descriptors >= 0, "limits.descriptors", "must not be negative")
+	switch s.Trace.Export {
+	case spans.ExportOff, spans.ExportStdout, spans.ExportOTLP:
+	default:
+		check(false, "trace.export", "must be off, stdout or otlp")
+	}
+	check(s.Trace.Ratio >= 0 && s.Trace.Ratio <= 1, "trace.ratio", "must be from 0 to 1")
 	check(s.LogRate >= 0, "log-rate", "must not be negative")
 	seen := map[netip.AddrPort]string{}
 	for _, l := range []struct {
--- a/setup/setup_test.go
+++ b/setup/setup_test.go
@@ -35,11 +35,11 @@
 
 // TestAllFaultsAreReported checks that one reading shows each fault with its place.
 func TestAllFaultsAreReported(t *testing.T) {
-	_, err := Parse([]byte("listen: {callers: \"10.0.0.1:1\", peers: \"10.0.0.1:1\"}\nlog-rate: -1\n"))
+	_, err := Parse([]byte("listen: {callers: \"10.0.0.1:1\", peers: \"10.0.0.1:1\"}\nlog-rate: -1\ntrace: {export: paper, ratio: 2}\n"))
 	if err == nil {
 		t.Fatal("no fault found")
 	}
-	for _, place := range []string{"node:", "domain:", "listen.readiness:", "listen.peers: the same address as listen.callers", "platform.store:", "platform.promotion:", "log-rate:"} {
+	for _, place := range []string{"node:", "domain:", "listen.readiness:", "listen.peers: the same address as listen.callers", "platform.store:", "platform.promotion:", "log-rate:", "trace.export:", "trace.ratio:"} {
 		if !strings.Contains(err.Error(), place) {
 			t.Errorf("%q is missing in:\n%v", place, err)
 		}
