group: a member that can't be used doesn't use up a statement's tries

Found by make demo-platform: statements for a primary that had just crashed were refused with "no member ran the statement" within 0.2 s, though its replacement took less than their time.

Cause: a failed connect counted as one of eight tries. Beside other traffic, which wakes the queue, these were over in 8 times 25 ms.

Nothing was sent, so the statement now waits on until its deadline, as it does for a member that is known to be lost. The queue still refuses what can't be served in time. TestFailedConnectsAreWaitedOut was refused before (a write, a transaction), beside reads on the replicas.

TestSynchronousCommitsSurviveThePrimary, which was missing: with synchronous replicas, one that lacks an acknowledged commit isn't promoted while another can't be asked.

--- a/egretlab/soak/soak.go
+++ b/egretlab/soak/soak.go
@@ -113,8 +113,8 @@
 )
 
 // Run plays the plan. An error says that it couldn't be played.
-func (s *Soak) Run(ctx context.Context) (*Report, error) {
-	ctx, cancel := context.WithCancel(ctx)
+func (s *Soak) Run(whole context.Context) (*Report, error) {
+	ctx, cancel := context.WithCancel(whole)
 	defer cancel()
 	s.ledger = &Ledger{
 		Now: time.Now,
@@ -153,6 +153,9 @@
 	s.play(ctx)
 	stopCallers()
 	wg.Wait()
+	if err := whole.Err(); err != nil {
+		return nil, errors.Annotate(err, "the run was interrupted")
+	}
 	// What is still on its way arrives before the logs are read.
 	pause(ctx, time.Second)
 	s.judge()
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -391,3 +391,87 @@
 		t.Errorf("%q was promoted", s.promoted)
 	}
 }
+
+// TestSynchronousCommitsSurviveThePrimary loses the primary and the replica that has its last commit.
+// With synchronous replicas, the one that lacks the commit isn't promoted; without them it is.
+func TestSynchronousCommitsSurviveThePrimary(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sync int
+		want string
+	}{
+		{name: "synchronous", sync: 1, want: "b"},
+		{name: "not synchronous", want: "c"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFakeService()
+			l, _ := startLane(t, s)
+			l.Configure(&egret.Pool{
+				Name:         "s",
+				Connections:  16,
+				SyncReplicas: c.sync,
+			})
+			l.Update(s.backends())
+			led(t, l)
+			s.member("c", func(m *fakeMember) { m.frozen = true })
+			if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone {
+				t.Fatalf("%+v", a)
+			}
+			for _, id := range []string{"a", "b"} {
+				s.member(id, func(m *fakeMember) { m.down = true })
+			}
+			// The first write finds that the connection to the primary is lost. The second waits for
+			// longer than a replacement takes that need not wait for b.
+			for range 2 {
+				w := write("2")
+				w.Timeout = 1500 * time.Millisecond
+				l.Stream().Do(context.Background(), w)
+			}
+			s.member("b", func(m *fakeMember) { m.down = false })
+			eventually(t, "another primary", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return len(s.promoted) > 0
+			})
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.promoted[0] != c.want {
+				t.Errorf("%q were promoted, want %s first", s.promoted, c.want)
+			}
+		})
+	}
+}
+
+// TestFailedConnectsAreWaitedOut lets a primary take connections and answer nothing for a while that is
+// too short to replace it. What has the time for it is served afterwards.
+func TestFailedConnectsAreWaitedOut(t *testing.T) {
+	begin := write("2")
+	begin.Begin = egret.VerbBegin
+	for name, w := range map[string]egret.Work{"write": write("1"), "begin": begin} {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeService()
+			l, _ := startLane(t, s)
+			l.Update(s.backends())
+			led(t, l)
+			s.member("a", func(m *fakeMember) { m.mute = true })
+			// It ends the connection that was open.
+			l.Stream().Do(context.Background(), write("0"))
+			time.AfterFunc(600*time.Millisecond, func() {
+				s.member("a", func(m *fakeMember) { m.mute = false })
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() {
+				// Reads on the replicas give slots back, which lets the statement be tried.
+				for ctx.Err() == nil {
+					l.Stream().Do(ctx, read("3"))
+				}
+			}()
+			stream := l.Stream()
+			defer stream.Close()
+			if a := stream.Do(ctx, w); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+				t.Errorf("answer %+v, want one of a", a)
+			}
+		})
+	}
+}
--- a/group/stream.go
+++ b/group/stream.go
@@ -119,9 +119,6 @@
 		if fault.Kind != egret.FaultNone {
 			return s.lane.refused(w, fault, last, arrived)
 		}
-		if c == nil {
-			continue
-		}
 		a, again := s.lane.run(c, it, w, try)
 		if !again {
 			return a
@@ -144,9 +141,19 @@
 	}
 }
 
-// open waits for a slot and takes a connection. It returns no connection and no fault if the member
-// could not be used and another may be tried.
+// open waits for a slot and takes a connection. Members that can't be used are tried again until the
+// statement's deadline, as nothing was sent.
 func (l *Lane) open(ctx context.Context, it *sched.Item, w *egret.Work) (*conn, egret.Fault) {
+	for {
+		c, fault := l.tryOpen(ctx, it, w)
+		if c != nil || fault.Kind != egret.FaultNone {
+			return c, fault
+		}
+	}
+}
+
+// tryOpen is open with one member. It returns no connection and no fault if the member couldn't be used.
+func (l *Lane) tryOpen(ctx context.Context, it *sched.Item, w *egret.Work) (*conn, egret.Fault) {
 	m, fault := l.acquire(ctx, it)
 	if fault.Kind != egret.FaultNone {
 		return nil, fault
--- a/group/transact.go
+++ b/group/transact.go
@@ -20,9 +20,6 @@
 		if fault.Kind != egret.FaultNone {
 			return s.lane.refused(w, fault, last, arrived)
 		}
-		if c == nil {
-			continue
-		}
 		a, opened := s.lane.openTransaction(c, it, w)
 		if !opened {
 			s.lane.release(c.member)
