egretlab: the ledger is a package of its own, soak and dbsim in smaller files

egretlab/soak had 1,900 lines with two concerns: running processes under faults, and judging what callers and members saw. The second needs no network and is now egretlab/ledger. Nothing else changed.

--- a/egretlab/soak/caller.go
+++ b/egretlab/soak/caller.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/egretlab/ledger"
 )
 
 const (
@@ -45,7 +46,7 @@
 	proxy   *proxy
 	conn    net.Conn
 	in      *bufio.Reader
-	session *Session
+	session *ledger.Session
 	names   int
 
 	// state is that of the last READY.
@@ -271,7 +272,7 @@
 	}
 	c.conn = conn
 	c.in = bufio.NewReader(conn)
-	c.session = &Session{
+	c.session = &ledger.Session{
 		Database: c.route.database,
 		Kind:     c.route.kind,
 		MaxAge:   c.route.maxAge,
