egretlane: signals that come in series don't end a stopping process

A statement that was sent 137 ms after the SIGTERM of its proxy got no answer. The plan had stopped the same proxy twice, 138 ms apart.

Cause: after the first signal the handler was taken back, so that the second SIGTERM ended the process at once, with all that ran there. A SIGHUP during the shutdown did the same, as the handler of the settings ended with the context. Ruled out: the shutdown itself (the log ends 0.15 s after process-leaving, without process-stopped).

Further SIGTERMs are now logged and change nothing, and SIGHUP is taken until the end.

--- a/egretlane/fleet_command.go
+++ b/egretlane/fleet_command.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// serveFleet runs the proxy until it is told to stop. A second signal ends it at once.
+// serveFleet runs the proxy until it is told to stop.
 func serveFleet(ctx context.Context, path string) error {
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
 	s, err := setup.Load(path)
@@ -84,9 +84,9 @@
 		}
 	}()
 	n := newNode(s, t)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	context.AfterFunc(ctx, stop)
+	ctx = untilStopped(ctx, func(s os.Signal) {
+		t.Event("signal-ignored").Str("signal", s.String()).Msg("the process is stopping already")
+	})
 	go reread(ctx, path, s, t)
 	if err := n.run(ctx); err != nil {
 		return fmt.Errorf("node %s: %w", s.Node, err)
@@ -100,8 +100,8 @@
 // reread reads the settings file again on SIGHUP and from time to time. Faulty settings change nothing.
 func reread(ctx context.Context, path string, s *setup.Settings, t *trail.Trail) {
 	hup := make(chan os.Signal, 1)
+	// It stays so while the process stops, as an unhandled SIGHUP would end it at once.
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(rereadInterval)
 	defer tick.Stop()
 	rate := s.LogRate
--- a/egretlane/main.go
+++ b/egretlane/main.go
@@ -6,9 +6,8 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 	"google.golang.org/grpc/grpclog"
 )
@@ -31,7 +30,7 @@
 	}
 }
 
-// serve runs the proxy until it is told to stop. A second signal ends it at once.
+// serve runs the proxy until it is told to stop.
 func serve(ctx context.Context, s *Settings) error {
 	// gRPC's own lines would stand beside the log's; what they report is counted.
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
@@ -43,8 +42,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	context.AfterFunc(ctx, stop)
+	ctx = untilStopped(ctx, func(s os.Signal) {
+		log.Warn().Str("signal", s.String()).Msg("the process is stopping already")
+	})
 	return p.run(ctx)
 }
