egretlab/soak: seed 11004 as a regression case, with the plan's five proxies

Plans choose proxies by remainder, so the seeds of TestSeeds repeat what failed only with as many proxies as it had.

--- a/egretlab/soak/run_test.go
+++ b/egretlab/soak/run_test.go
@@ -24,6 +24,7 @@
 	}{
 		{seed: 4, cause: "planned work only"},
 		{seed: 51, cause: "faults and synchronous replicas"},
+		{seed: 11004, cause: "a second SIGTERM ended a proxy that was stopping"},
 		{seed: 102, cause: "a write that was given up ran when a cut ended, as its connection wasn't reset"},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
@@ -35,7 +36,7 @@
 				Program:  program,
 				Folder:   folder,
 				Plan:     NewPlan(c.seed, 30*time.Second),
-				Proxies:  4,
+				Proxies:  5,
 				Services: 2,
 				Callers:  3,
 				Log:      t.Logf,
