fleet, claim, egretlane: many services before many processes cost little

Cause: each process asks five times a second for its rank for each service. A rank counted the holdings of all services, went through all members to find the primary's failure domain, and compared all processes, so the work grew with services times (services + members + processes).

Holdings are counted once for all ranks and again when a record changes, the members are kept by service, a rank stops to count where the answer is known, and a claim whose holder answers looks at it each 250 ms (a holder has to be silent for 600 ms; the first unanswered question brings 50 ms back).

TestCalmClaimsRest fails on the code before (30 looks); TestRankOfManyServices and TestMembersOfManyServices need the new functions.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -28,9 +28,14 @@
 	// readTimeout bounds a renewal, so that a silent connection leaves time for another.
 	readTimeout = 600 * time.Millisecond
 
-	// tickInterval is how often a process looks whether it should take over.
+	// tickInterval is how often a process looks whether it should take over, while there is a cause or
+	// one may be near, and how often a holder looks after its right.
 	tickInterval = 50 * time.Millisecond
 
+	// calmInterval is the same while the holder answers. With many services most are calm, and a
+	// holder has to be silent for longer than that to be replaced.
+	calmInterval = 250 * time.Millisecond
+
 	// silence is how long a holder doesn't answer before it is replaced.
 	silence = 600 * time.Millisecond
 
@@ -63,8 +68,9 @@
 
 // Peers is what is known of the other processes.
 type Peers interface {
-	// Rank returns how many live processes are better placed to hold the service.
-	Rank(service string) int
+	// Rank returns how many live processes are better placed to hold the service. It stops to count at
+	// most.
+	Rank(service string, most int) int
 
 	// Silent returns for how long the process has not answered. It is zero if it answers, or if a
 	// live process hears it.
@@ -180,7 +186,7 @@
 
 // Run claims and renews until the context ends.
 func (c *Claim) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTimer(tickInterval)
 	defer tick.Stop()
 	renewed, failing := clock.Time(0), false
 	for {
@@ -194,9 +200,12 @@
 		c.mu.Lock()
 		holding := c.mine != 0
 		c.mu.Unlock()
+		tick.Reset(tickInterval)
 		switch {
 		case !holding:
-			c.consider(ctx)
+			if calm := c.consider(ctx); calm {
+				tick.Reset(calmInterval)
+			}
 		case c.waiting(ctx):
 		case clock.Since(renewed) >= renewInterval || !c.Valid():
 			renewed = clock.Now()
@@ -318,6 +327,11 @@
 	}
 }
 
+// Wake makes Run look at once whether there is a cause to take the service.
+func (c *Claim) Wake() {
+	c.wake()
+}
+
 func (c *Claim) wake() {
 	select {
 	case c.kick <- struct{}{}:
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -30,6 +30,32 @@
 	}
 }
 
+// TestCalmClaimsRest checks the load of many services before many processes: while its holder answers, a
+// service costs the others next to nothing.
+func TestCalmClaimsRest(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 3)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	time.Sleep(2 * calmInterval)
+	before := map[string]int64{}
+	for _, c := range w.claims {
+		before[c.Self.Node] = c.Peers.(*fakePeers).looks.Load()
+	}
+	span := 6 * calmInterval
+	time.Sleep(span)
+	for _, c := range w.claims {
+		if c == holder {
+			continue
+		}
+		looks := c.Peers.(*fakePeers).looks.Load() - before[c.Self.Node]
+		// Each look asks twice, and the span may begin and end with one.
+		if most := 2 * (int64(span/calmInterval) + 1); looks > most {
+			t.Errorf("%s looked %d times in %s, want %d at most", c.Self.Node, looks, span, most)
+		}
+	}
+}
+
 // TestSuccessorWaitsForPromises cuts the holder from the store and from one other process, which
 // takes the record. The holder has its promises from the rest, so the successor has to wait until
 // these bar them.
--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,6 +209,9 @@
 	world        *world
 	index, total int
 
+	// looks counts how often the process looked after a holder.
+	looks atomic.Int64
+
 	mu          sync.Mutex
 	silentSince map[string]clock.Time
 }
@@ -218,9 +222,10 @@
 	return !p.world.cutPeers[[2]string{nodeName(p.index), node}] && !p.world.cutPeers[[2]string{node, nodeName(p.index)}]
 }
 
-func (p *fakePeers) Rank(string) int { return p.index }
+func (p *fakePeers) Rank(_ string, most int) int { return min(p.index, most) }
 
 func (p *fakePeers) Silent(r Record) time.Duration {
+	p.looks.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.reaches(r.Node) {
--- a/claim/take.go
+++ b/claim/take.go
@@ -32,18 +32,27 @@
 	since clock.Time
 }
 
-// consider takes the service if there is a cause to. Only Run calls it.
-func (c *Claim) consider(ctx context.Context) {
+// consider takes the service if there is a cause to. It returns true if none is near. Only Run calls it.
+func (c *Claim) consider(ctx context.Context) bool {
 	w := c.why()
 	if w.name == "" {
-		return
+		c.mu.Lock()
+		r := c.seen.Record
+		c.mu.Unlock()
+		return c.Peers.Silent(r) == 0
 	}
-	// The rank is asked for last, as it takes a look at every process.
 	since := clock.Since(w.since)
-	if since < w.after || !w.first && since < w.after+time.Duration(c.Peers.Rank(c.Service))*rankStep {
-		return
+	if since < w.after {
+		return false
+	}
+	// Each better placed process has a step's head start. Those beyond the steps that have passed don't
+	// need to be counted.
+	passed := int((since - w.after) / rankStep)
+	if !w.first && c.Peers.Rank(c.Service, passed+1) > passed {
+		return false
 	}
 	c.take(ctx, w)
+	return false
 }
 
 // why returns the cause to take the service, if there is one.
--- a/egretlane/directory.go
+++ b/egretlane/directory.go
@@ -34,15 +34,19 @@
 
 	mu sync.Mutex
 
-	members map[string]egret.Backend
+	// members are all that have an entry, by ID, and services the same by service and ID. There are
+	// many services, and each process asks for the members of each several times a second.
+	members  map[string]egret.Backend
+	services map[string]map[string]egret.Backend
 }
 
 func newDirectory(keys egret.Keyspace, t *trail.Trail) *directory {
 	d := &directory{
-		keys:    keys,
-		trail:   t,
-		needed:  make(chan struct{}, 1),
-		members: map[string]egret.Backend{},
+		keys:     keys,
+		trail:    t,
+		needed:   make(chan struct{}, 1),
+		members:  map[string]egret.Backend{},
+		services: map[string]map[string]egret.Backend{},
 	}
 	d.operatorKeys = &watch.Watch{
 		Keys:   keys,
@@ -155,7 +159,11 @@
 	for _, b := range d.members {
 		services[b.Service] = true
 	}
-	d.members = members
+	d.members = map[string]egret.Backend{}
+	clear(d.services)
+	for _, b := range members {
+		d.put(b)
+	}
 	d.mu.Unlock()
 	for service := range services {
 		d.changed(service, d.of(service))
@@ -169,10 +177,9 @@
 	d.mu.Unlock()
 	b, ok := d.decode(item)
 	d.mu.Lock()
+	d.remove(id)
 	if ok {
-		d.members[id] = b
-	} else {
-		delete(d.members, id)
+		d.put(b)
 	}
 	d.mu.Unlock()
 	if known && (!ok || before.Service != b.Service) {
@@ -183,6 +190,25 @@
 	}
 }
 
+// put adds a member. The caller holds mu.
+func (d *directory) put(b egret.Backend) {
+	d.members[b.ID] = b
+	if d.services[b.Service] == nil {
+		d.services[b.Service] = map[string]egret.Backend{}
+	}
+	d.services[b.Service][b.ID] = b
+}
+
+// remove takes a member out, if there is one of the ID. The caller holds mu.
+func (d *directory) remove(id string) {
+	service := d.members[id].Service
+	delete(d.members, id)
+	delete(d.services[service], id)
+	if len(d.services[service]) == 0 {
+		delete(d.services, service)
+	}
+}
+
 // decode reads an entry. One that can't be read names no member.
 func (d *directory) decode(item egret.Item) (egret.Backend, bool) {
 	if item.Removed {
@@ -200,18 +226,18 @@
 func (d *directory) of(service string) []egret.Backend {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	members := []egret.Backend{}
-	for _, b := range d.members {
-		if b.Service == service {
-			members = append(members, b)
-		}
+	members := make([]egret.Backend, 0, len(d.services[service]))
+	for _, b := range d.services[service] {
+		members = append(members, b)
 	}
 	return members
 }
 
 // home returns the failure domain of a service's primary, as its entry said when it was read.
 func (d *directory) home(service string) string {
-	for _, b := range d.of(service) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, b := range d.services[service] {
 		if b.Role == egret.RolePrimary {
 			return b.Domain
 		}
--- a/egretlane/directory_test.go
+++ b/egretlane/directory_test.go
@@ -48,3 +48,35 @@
 		t.Errorf("home %q", home)
 	}
 }
+
+// TestMembersOfManyServices checks that a member is found under the service that its newest entry names, and
+// that asking for the primary's domain, which each process does for each service several times a second,
+// doesn't depend on how many there are.
+func TestMembersOfManyServices(t *testing.T) {
+	d := newDirectory(nil, nil)
+	d.changed = func(string, []egret.Backend) {}
+	entry := `{"service":"s%d","address":"10.0.0.1:80","capacity":2,"state":"ready","db_role":"primary","zone":"z"}`
+	items := []egret.Item{}
+	for i := range 600 {
+		items = append(items, egret.Item{
+			Key:      fmt.Sprintf("servers/m%d", i),
+			Data:     []byte(fmt.Sprintf(entry, i%200)),
+			Revision: uint64(i + 1),
+		})
+	}
+	d.resetMembers(items)
+	if n := len(d.of("s7")); n != 3 {
+		t.Errorf("%d members of s7", n)
+	}
+	if allocations := testing.AllocsPerRun(20, func() { d.home("s7") }); allocations != 0 {
+		t.Errorf("%.0f allocations to find a primary's domain", allocations)
+	}
+	d.changeMember(egret.Item{Key: "servers/m7", Data: []byte(fmt.Sprintf(entry, 8)), Revision: 1000})
+	if a, b := len(d.of("s7")), len(d.of("s8")); a != 2 || b != 4 {
+		t.Errorf("%d members of s7 and %d of s8 after one went from one to the other", a, b)
+	}
+	d.changeMember(egret.Item{Key: "servers/m7", Removed: true, Revision: 1001})
+	if n := len(d.of("s8")); n != 3 {
+		t.Errorf("%d members of s8 after one was removed", n)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,6 +95,10 @@
 	// givenUp are the revisions of holdings that their holders have ended.
 	givenUp map[uint64]bool
 
+	// counts is how many services each process held at countedAt.
+	counts    map[string]int
+	countedAt clock.Time
+
 	// movedAt is when a process was asked last whether it has given up a service.
 	movedAt map[netip.AddrPort]clock.Time
 
@@ -280,6 +284,7 @@
 	f.records[service] = item
 	c := f.claims[service]
 	f.mu.Unlock()
+	defer f.recount()
 	if c != nil {
 		c.Observe(item)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -96,7 +96,7 @@
 		f.change(egret.Item{Key: nodesPrefix + id, Data: data, Revision: 9})
 	}
 	add("far", "elsewhere")
-	if rank := f.Rank("t"); rank != 0 {
+	if rank := f.Rank("t", 99); rank != 0 {
 		t.Errorf("rank %d with one process that is farther away", rank)
 	}
 	data, err := json.Marshal(claim.Record{Node: "me", Incarnation: "1"})
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	f.change(egret.Item{Key: claim.Prefix + "s", Data: data, Revision: 10})
-	if rank := f.Rank("t"); rank != 1 {
+	if rank := f.Rank("t", 99); rank != 1 {
 		t.Errorf("rank %d while holding another service", rank)
 	}
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -39,14 +39,18 @@
 	detourAge = 700 * time.Millisecond
 )
 
-// Rank returns how many live processes are better placed to hold the service.
-func (f *Fleet) Rank(service string) int {
+// Rank returns how many live processes are better placed to hold the service. It stops to count at
+// most.
+func (f *Fleet) Rank(service string, most int) int {
 	p := f.placement(service)
 	own := p.score(&f.Self)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	better := 0
 	for _, n := range f.nodes {
+		if better >= most {
+			break
+		}
 		if n.ID != p.holder && n.ID != f.Self.ID && p.score(&n) < own {
 			better++
 		}
@@ -54,6 +58,13 @@
 	return better
 }
 
+// recount makes the next placement count anew.
+func (f *Fleet) recount() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts = nil
+}
+
 // Successor returns the process that is placed best to hold a service that this one leaves, or "".
 func (f *Fleet) Successor(service string) string {
 	p := f.placement(service)
@@ -79,30 +90,50 @@
 	// holder holds the service now, and doesn't succeed itself.
 	holder string
 
-	// held counts the other services that a process holds.
+	// held counts the services that a process holds. It is shared and must not be changed. The service
+	// itself counts only for its holder, which has no part in the order.
 	held map[string]int
 }
 
 func (f *Fleet) placement(service string) *placement {
 	p := &placement{
 		service: service,
-		held:    map[string]int{},
+		held:    f.holdings(),
 	}
 	p.domain, p.region = f.Home(service)
-	for _, c := range f.allClaims() {
-		s, known := c.Seen()
-		if !known || s.Revision == 0 || s.Record.Released {
-			continue
-		}
-		if c.Service == service {
+	if c := f.Claim(service); c != nil {
+		if s, known := c.Seen(); known && s.Revision != 0 && !s.Record.Released {
 			p.holder = s.Record.Node
-			continue
 		}
-		p.held[s.Record.Node]++
 	}
 	return p
 }
 
+// countInterval is for how long a count of the services that processes hold is used again. With many
+// services each is placed several times a second, and only the order of candidates depends on it.
+const countInterval = 50 * time.Millisecond
+
+// holdings returns how many services each process holds. The map must not be changed.
+func (f *Fleet) holdings() map[string]int {
+	f.mu.Lock()
+	held, at := f.counts, f.countedAt
+	f.mu.Unlock()
+	if held != nil && clock.Since(at) < countInterval {
+		return held
+	}
+	held = map[string]int{}
+	for _, c := range f.allClaims() {
+		s, known := c.Seen()
+		if known && s.Revision != 0 && !s.Record.Released {
+			held[s.Record.Node]++
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts, f.countedAt = held, clock.Now()
+	return held
+}
+
 // mostHeld is the highest count of services that a score tells apart: it has four bits for them.
 const mostHeld = 15
 
@@ -243,7 +274,7 @@
 			continue
 		}
 		heard, asked := f.Pool.Heard(s.Record.Address)
-		due := asked != 0 || clock.Since(heard) > listenInterval && f.Rank(c.Service) < listeners
+		due := asked != 0 || clock.Since(heard) > listenInterval && f.Rank(c.Service, listeners) < listeners
 		if due {
 			go f.pingHolder(ctx, s.Record.Address)
 		}
@@ -272,6 +303,9 @@
 	for _, revision := range reply.GetGivenUp() {
 		f.givenUp[revision] = true
 	}
+	for _, c := range f.claims {
+		c.Wake()
+	}
 }
 
 // GaveUp reports whether the holder at the revision has said that it holds the service no longer.
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/claim"
+	"egretlane.example/egret/clock"
 	"egretlane.example/egret/link"
 )
 
@@ -55,7 +57,7 @@
 			continue
 		}
 		f.Self = n
-		ranks[f.Rank("s3")] = n.ID
+		ranks[f.Rank("s3", 99)] = n.ID
 	}
 	if len(ranks) != 39 {
 		t.Fatalf("%d ranks of 39 processes", len(ranks))
@@ -80,13 +82,44 @@
 // each service several times a second, so that it must not allocate for each process.
 func TestRankOfLargeFleet(t *testing.T) {
 	small, large := bigFleet(t, 30, 100), bigFleet(t, 300, 100)
-	few := testing.AllocsPerRun(20, func() { small.Rank("s1") })
-	many := testing.AllocsPerRun(20, func() { large.Rank("s1") })
+	few := testing.AllocsPerRun(20, func() { small.Rank("s1", 400) })
+	many := testing.AllocsPerRun(20, func() { large.Rank("s1", 400) })
 	if many > few+1 {
 		t.Errorf("%.0f allocations with 300 processes, %.0f with 30", many, few)
 	}
 }
 
+// TestRankOfManyServices checks the same load from its other side: a rank doesn't look at each of the other
+// services, and none of a process that is placed well enough looks at all processes.
+func TestRankOfManyServices(t *testing.T) {
+	few, many := bigFleet(t, 30, 10), bigFleet(t, 30, 1000)
+	for _, f := range []*Fleet{few, many} {
+		f.counts, f.countedAt = f.holdings(), clock.Now().Add(time.Hour)
+	}
+	a := testing.AllocsPerRun(20, func() { few.Rank("s1", 99) })
+	b := testing.AllocsPerRun(20, func() { many.Rank("s1", 99) })
+	if b > a {
+		t.Errorf("%.0f allocations with 1000 services, %.0f with 10", b, a)
+	}
+	if rank := many.Rank("s3", 2); rank > 2 {
+		t.Errorf("rank %d was counted beyond 2", rank)
+	}
+}
+
+// TestCountsFollowRecords checks that a count that is used again doesn't hide a new holder.
+func TestCountsFollowRecords(t *testing.T) {
+	f := bigFleet(t, 5, 7)
+	before := f.holdings()["n4"]
+	data, err := json.Marshal(claim.Record{Node: "n4", Incarnation: "1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.change(egret.Item{Key: claim.Prefix + "s0", Data: data, Revision: 1000})
+	if now := f.holdings()["n4"]; now != before+1 {
+		t.Errorf("n4 holds %d services, want %d", now, before+1)
+	}
+}
+
 // TestManyHoldingsKeepTheOrder places a process that holds more services than a score tells apart.
 func TestManyHoldingsKeepTheOrder(t *testing.T) {
 	p := &placement{
