watch, fleet: an outage of the store isn't asked about by all, and is over for all

Cause: of a grown fleet few processes follow the store, and the others ask them. Registrations were renewed every half second meanwhile.

Found on the way: a process that relies on others took the store for lost until a call of its own succeeded, and made none once the others knew again. It then went on to refuse, as hopeless, what a successor of a lost holder would have run.

Now it asks the others twice before it calls the store, calls a failing store once in about 1.5 s, and hears through the others when it is back. Lost means that neither the store nor others tell of changes. Registering backs off up to 4 s, and begins without a read.

TestStoreIsRegainedThroughOthers (never regained) and TestOutageIsNotAskedByAll (10 calls of 7 allowed) failed on the code before.

--- a/fleet/register.go
+++ b/fleet/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,8 +19,10 @@
 	// renewInterval leaves time for two more tries before a registration lapses.
 	renewInterval = 6 * time.Second
 
-	// retryInterval is the pause after a failed registration.
-	retryInterval = 500 * time.Millisecond
+	// retryInterval is the pause after a failed registration, and maxRetryInterval that after several.
+	// Nothing but the order of candidates waits for it, and all processes pay for calls in an outage.
+	retryInterval    = 500 * time.Millisecond
+	maxRetryInterval = 4 * time.Second
 )
 
 // register keeps this process registered.
@@ -29,6 +32,7 @@
 		return err
 	}
 	lease := egret.LeaseID(0)
+	retry := retryInterval
 	for ctx.Err() == nil && !f.Leaving() {
 		pause := renewInterval
 		if lease != 0 {
@@ -38,7 +42,10 @@
 			lease, err = f.announce(ctx, data)
 		}
 		if err != nil {
-			pause = retryInterval
+			pause = retry/2 + rand.N(retry)
+			retry = min(2*retry, maxRetryInterval)
+		} else {
+			retry = retryInterval
 		}
 		select {
 		case <-ctx.Done():
@@ -70,11 +77,15 @@
 		return 0, err
 	}
 	key := nodesPrefix + f.Self.ID
-	item, err := f.Keys.Read(ctx, key)
-	if err != nil {
-		return 0, err
+	_, err = f.Keys.Swap(ctx, key, 0, data, lease)
+	if errors.Is(err, egret.ErrConflict) {
+		// A former process's registration has not lapsed yet.
+		item, readErr := f.Keys.Read(ctx, key)
+		if readErr != nil {
+			return 0, readErr
+		}
+		_, err = f.Keys.Swap(ctx, key, item.Revision, data, lease)
 	}
-	_, err = f.Keys.Swap(ctx, key, item.Revision, data, lease)
 	f.Trail.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(lease)).Err(err).Msg("this process registered itself")
 	if err != nil {
 		return 0, err
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/clock"
 	"egretlane.example/egret/trail"
 )
 
@@ -33,6 +34,19 @@
 	// force within seconds, and the questions cost the platform nothing.
 	relayInterval = 250 * time.Millisecond
 
+	// relayPatience is how long the others may not know before a process that relies on them asks the
+	// store itself: two tries, each with another process.
+	relayPatience = 2 * relayInterval
+
+	// ownInterval is the time between the calls of such a process to a store that fails. It hears of the
+	// store's return from the others, unless they are cut off and it isn't, and a configuration has to be
+	// in force within seconds then as well. Calls in an outage are paid for by all.
+	ownInterval = 1500 * time.Millisecond
+
+	// relayAge is for how long an answer of another process counts as hearing the store: a call of this
+	// process to a silent store, and two further questions.
+	relayAge = wait/2 + 2*relayInterval
+
 	// firstPause and maxPause bound the pauses after failed calls.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 600 * time.Millisecond
@@ -63,15 +77,24 @@
 	// RelayStart lets the process begin with what others have seen, if the store gives no answer.
 	RelayStart bool
 
-	// Lost is called when calls begin to fail, and Regained when they succeed again. They may be nil.
+	// Lost is called when calls begin to fail and no other process tells of changes, and Regained when
+	// either is over. They may be nil.
 	Lost, Regained func()
 
 	// Trail writes decisions. It may be nil.
 	Trail *trail.Trail
 
-	// pause is that after the last failed call. failing says that calls to the store fail.
+	// pause is that after the last failed call. failing says that calls to the store fail, and deaf that
+	// others don't tell of changes either.
 	pause   time.Duration
 	failing atomic.Bool
+	deaf    bool
+
+	// relayed is when another process told of changes last.
+	relayed clock.Time
+
+	// ownAfter is when a process that relies on others may ask the store itself.
+	ownAfter clock.Time
 
 	// log is what was seen, for other processes.
 	log log
@@ -101,18 +124,25 @@
 	for ctx.Err() == nil {
 		direct := w.Direct == nil || w.Direct()
 		if w.Relay != nil && (!direct || w.failing.Load()) {
-			if items, next, ok := w.Relay(ctx, w.Prefix, at); ok {
+			items, next, ok := w.Relay(ctx, w.Prefix, at)
+			if ok {
 				at = w.take(items, max(at, next), false)
-				if !direct {
-					pause(ctx, relayInterval)
-					continue
-				}
+				w.relayed = clock.Now()
+				w.ownAfter = w.relayed.Add(relayPatience)
+				w.heard("another process")
+			}
+			if !direct && clock.Now() < w.ownAfter {
+				pause(ctx, relayInterval)
+				continue
 			}
 		}
 		if at == 0 {
 			return
 		}
 		items, next, err := w.Keys.Changes(ctx, w.Prefix, at, w.patience())
+		if err != nil {
+			w.ownAfter = clock.Now().Add(ownInterval/2 + rand.N(ownInterval))
+		}
 		if errors.Is(err, egret.ErrHistoryGone) {
 			w.Trail.Event("history-gone").Str("prefix", w.Prefix).Uint64("after", at).Msg("the store has dropped changes")
 			return
@@ -155,20 +185,18 @@
 // failed reports whether the call failed, and pauses then.
 func (w *Watch) failed(ctx context.Context, err error) bool {
 	if err == nil {
-		if w.failing.Swap(false) {
-			w.Trail.Event("store-regained").Str("prefix", w.Prefix).Msg("the store answers again")
-			if w.Regained != nil {
-				w.Regained()
-			}
-		}
+		w.failing.Store(false)
+		w.heard("the store")
 		w.pause = 0
 		return false
 	}
 	if ctx.Err() != nil {
 		return true
 	}
-	if !w.failing.Swap(true) {
-		w.Trail.Event("store-lost").Str("prefix", w.Prefix).Err(err).Msg("the store gives no answer")
+	w.failing.Store(true)
+	if !w.deaf && clock.Since(w.relayed) > relayAge {
+		w.deaf = true
+		w.Trail.Event("store-lost").Str("prefix", w.Prefix).Err(err).Msg("the store gives no answer, and no other process has one")
 		if w.Lost != nil {
 			w.Lost()
 		}
@@ -178,6 +206,18 @@
 	return true
 }
 
+// heard notes that the store's changes are known again.
+func (w *Watch) heard(from string) {
+	if !w.deaf {
+		return
+	}
+	w.deaf = false
+	w.Trail.Event("store-regained").Str("prefix", w.Prefix).Str("from", from).Msg("the store's changes are known again")
+	if w.Regained != nil {
+		w.Regained()
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +99,79 @@
 		t.Errorf("the calls waited for %v", k.waits)
 	}
 }
+
+// relayedWatch returns a watch that relies on others, whose answers are scripted by up, before a store that
+// fails every call after the list. calls counts the calls to the store after the list.
+func relayedWatch(up *atomic.Bool, calls *atomic.Int64, events chan<- string) *Watch {
+	return &Watch{
+		Keys: &failingKeys{
+			scriptedKeys: &scriptedKeys{lists: [][]egret.Item{{{Key: "p/a", Revision: 3}}}},
+			calls:        calls,
+		},
+		Prefix: "p/",
+		Reset:  func([]egret.Item) {},
+		Change: func(egret.Item) {},
+		Relay: func(context.Context, string, uint64) ([]egret.Item, uint64, bool) {
+			return nil, 11, up.Load()
+		},
+		Direct:   func() bool { return false },
+		Lost:     func() { events <- "lost" },
+		Regained: func() { events <- "regained" },
+	}
+}
+
+// failingKeys is a store that answers nothing but the list.
+type failingKeys struct {
+	*scriptedKeys
+	calls *atomic.Int64
+}
+
+func (k *failingKeys) Changes(context.Context, string, uint64, time.Duration) ([]egret.Item, uint64, error) {
+	k.calls.Add(1)
+	return nil, 0, errors.New("refused")
+}
+
+// TestStoreIsRegainedThroughOthers checks that a process that relies on others doesn't take the store for lost
+// once they hear it again: it makes no calls of its own then that could tell.
+func TestStoreIsRegainedThroughOthers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	up, calls, events := atomic.Bool{}, atomic.Int64{}, make(chan string, 16)
+	w := relayedWatch(&up, &calls, events)
+	go func() { _ = w.Run(ctx) }()
+	for _, want := range []string{"lost", "regained"} {
+		select {
+		case e := <-events:
+			if e != want {
+				t.Fatalf("%s, want %s", e, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("the store was not %s", want)
+		}
+		up.Store(true)
+	}
+	select {
+	case e := <-events:
+		t.Errorf("the store was %s while others heard it", e)
+	case <-time.After(relayAge):
+	}
+}
+
+// TestOutageIsNotAskedByAll checks the load of an outage before many processes: those that rely on others
+// leave it to them to find out when the store is back.
+func TestOutageIsNotAskedByAll(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	up, calls, events := atomic.Bool{}, atomic.Int64{}, make(chan string, 16)
+	w := relayedWatch(&up, &calls, events)
+	go func() { _ = w.Run(ctx) }()
+	span := 3 * ownInterval
+	time.Sleep(span)
+	// A pause is half of the interval at the least, and there is a first call.
+	if most := int64(2*span/ownInterval) + 1; calls.Load() > most {
+		t.Errorf("%d calls in %s, want %d at most", calls.Load(), span, most)
+	}
+	if calls.Load() < 2 {
+		t.Errorf("%d calls in %s: others may be cut off, so that this process has to ask", calls.Load(), span)
+	}
+}
