watch, link, platform: thin links carry what processes tell each other

The busiest process sent 1,544 kB a second, as much as a link of 12 Mbit/s carries.

Cause: few processes follow the store and tell all others what changed. At a start, or with a change of a large configuration, each of a hundred asked one of four for everything at once. The answers shared a thin link, took longer than the 600 ms that were allowed, and the asker then closed the connection, with the statements that were under way on it, and asked again for the same. Ruled out: processor time (0.03 cores), the number of services alone.

An answer now holds 16 KB and the asker goes on from there; answers are compressed; one that comes late doesn't close the connection, which is checked with a ping in its place.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,18 +19,24 @@
 // fakeHost answers statements with a function.
 type fakeHost struct {
 	do func(w egret.Work) egret.Answer
+
+	// late is how long the first answer about changes takes.
+	late atomic.Int64
 }
 
-func (h *fakeHost) Incarnation() string                                 { return "1" }
-func (h *fakeHost) Node() string                                        { return "host" }
-func (h *fakeHost) Leaving() bool                                       { return false }
-func (h *fakeHost) GivenUp() []uint64                                   { return []uint64{7} }
-func (h *fakeHost) Promise(string, claim.Promise) bool                  { return true }
-func (h *fakeHost) Changes(string, uint64) ([]egret.Item, uint64, bool) { return nil, 0, false }
-func (h *fakeHost) Stream(bool) egret.Stream                            { return h }
-func (h *fakeHost) Close()                                              {}
-func (h *fakeHost) Do(_ context.Context, w egret.Work) egret.Answer     { return h.do(w) }
-func (h *fakeHost) Clear(string, uint64) (time.Duration, claim.Intent)  { return 0, claim.Intent{} }
+func (h *fakeHost) Incarnation() string                { return "1" }
+func (h *fakeHost) Node() string                       { return "host" }
+func (h *fakeHost) Leaving() bool                      { return false }
+func (h *fakeHost) GivenUp() []uint64                  { return []uint64{7} }
+func (h *fakeHost) Promise(string, claim.Promise) bool { return true }
+func (h *fakeHost) Changes(string, uint64) ([]egret.Item, uint64, bool) {
+	time.Sleep(time.Duration(h.late.Swap(0)))
+	return []egret.Item{{Key: "a", Data: []byte("b"), Revision: 3}}, 4, true
+}
+func (h *fakeHost) Stream(bool) egret.Stream                           { return h }
+func (h *fakeHost) Close()                                             {}
+func (h *fakeHost) Do(_ context.Context, w egret.Work) egret.Answer    { return h.do(w) }
+func (h *fakeHost) Clear(string, uint64) (time.Duration, claim.Intent) { return 0, claim.Intent{} }
 func (h *fakeHost) Hear(context.Context, netip.AddrPort) (string, error) {
 	return "", errors.NotFoundf("proxy")
 }
@@ -161,3 +168,31 @@
 		t.Error("the proxy that is gone is still known")
 	}
 }
+
+// TestLateChangesKeepStatements asks about changes while a statement is under way on the same connection. On a
+// thin link the answer may come too late, which must not end the statement.
+func TestLateChangesKeepStatements(t *testing.T) {
+	h := &fakeHost{
+		do: func(egret.Work) egret.Answer {
+			time.Sleep(changesTimeout + 200*time.Millisecond)
+			return egret.Answer{Signature: "s"}
+		},
+	}
+	h.late.Store(int64(changesTimeout + 100*time.Millisecond))
+	address, _ := serveHost(t, h)
+	p := newPool(t)
+	s := p.Stream(address, true)
+	defer s.Close()
+	answers := make(chan egret.Answer)
+	go func() { answers <- s.Do(context.Background(), egret.Work{Timeout: 5 * time.Second}) }()
+	if _, _, ok := p.Changes(t.Context(), address, "p/", 1); ok {
+		t.Error("an answer that came too late was taken")
+	}
+	if a := <-answers; a.Fault.Kind != egret.FaultNone {
+		t.Errorf("the statement got %+v", a.Fault)
+	}
+	items, at, ok := p.Changes(t.Context(), address, "p/", 1)
+	if !ok || at != 4 || len(items) != 1 || string(items[0].Data) != "b" {
+		t.Errorf("%v up to %d, %v", items, at, ok)
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/claim"
@@ -31,6 +32,10 @@
 	// that a busy VM takes to get to it.
 	PingTimeout = 300 * time.Millisecond
 
+	// changesTimeout bounds an answer with what a proxy has seen in the store, which may be as large as a
+	// configuration. A configuration has to be in force within seconds.
+	changesTimeout = 1200 * time.Millisecond
+
 	// checkInterval is the least time between two checks of a connection by slow statements.
 	checkInterval = 300 * time.Millisecond
 
@@ -265,11 +270,27 @@
 // Changes asks the proxy for what it has seen in the store after the revision. It reports false if the
 // proxy doesn't know.
 func (p *Pool) Changes(ctx context.Context, a netip.AddrPort, prefix string, after uint64) ([]egret.Item, uint64, bool) {
-	r, err := ask(ctx, p, a, 2*PingTimeout, &linkpb.ChangesRequest{
+	e, err := p.get(a)
+	if err != nil {
+		return nil, 0, false
+	}
+	p.mu.Lock()
+	client := e.client
+	p.mu.Unlock()
+	// A late answer is one of many that share a thin link, not a sign of a silent connection, on which
+	// statements may be under way.
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	defer cancel()
+	r, err := client.Changes(ctx, &linkpb.ChangesRequest{
 		Prefix: prefix,
 		After:  after,
-	}, linkpb.LinkClient.Changes)
-	if err != nil || !r.GetFresh() {
+	}, grpc.UseCompressor(gzip.Name))
+	if err != nil {
+		p.check(a)
+		return nil, 0, false
+	}
+	p.answered(e)
+	if !r.GetFresh() {
 		return nil, 0, false
 	}
 	items := []egret.Item{}
--- a/watch/log.go
+++ b/watch/log.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,11 @@
 	// changes and time out.
 	ownAge = 2 * (wait + time.Second)
 
+	// batchBytes bounds the values of one answer to another process, but for a single larger one. Few
+	// processes answer all others, and links may be thin: a hundred such answers take a link of 10 Mbit/s
+	// less than half of the time that they may, even before they are compressed.
+	batchBytes = 16 << 10
+
 	// keepRemovals bounds the removals that are remembered. Who has not heard of older ones lists all.
 	keepRemovals = 512
 )
@@ -79,8 +86,9 @@
 	}
 }
 
-// after returns the changes after the revision, if they are known and the store was heard lately. After
-// revision zero it returns all items.
+// after returns the oldest changes after the revision, and up to which revision they are all, if they are
+// known and the store was heard lately. After revision zero it returns all items at once: what was removed
+// before a list isn't known, so a process that has some of the items can't go on from there.
 func (l *log) after(revision uint64) ([]egret.Item, uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,5 +101,22 @@
 			items = append(items, item)
 		}
 	}
+	slices.SortFunc(items, func(a, b egret.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	if n := batch(items); revision != 0 && n < len(items) {
+		return items[:n], items[n-1].Revision, true
+	}
 	return items, l.at, true
 }
+
+// batch returns how many of the items fit into one answer, at least one if there is any. Items of one
+// revision go together.
+func batch(items []egret.Item) int {
+	size := 0
+	for i, item := range items {
+		size += len(item.Key) + len(item.Data)
+		if size > batchBytes && i > 0 && item.Revision != items[i-1].Revision {
+			return i
+		}
+	}
+	return len(items)
+}
--- a/watch/log_test.go
+++ b/watch/log_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -41,3 +42,42 @@
 		t.Errorf("%d items, %v", len(items), ok)
 	}
 }
+
+// TestAnswersToManyAreSmall checks the load of a start of many processes before many services, with thin links:
+// what one asks of another is answered in parts, which go on from one another and miss nothing.
+func TestAnswersToManyAreSmall(t *testing.T) {
+	const keys, size, first = 400, 1000, 10
+	l := log{}
+	l.reset(nil, first)
+	items := []egret.Item{}
+	for i := range keys {
+		items = append(items, egret.Item{Key: fmt.Sprint(i), Revision: uint64(first + keys - i), Data: bytes.Repeat([]byte{'x'}, size)})
+	}
+	items = append(items, egret.Item{Key: "large", Revision: first + keys + 1, Data: make([]byte, 4*batchBytes)})
+	const last = first + keys + 5
+	l.add(items, last, true)
+	seen := map[string]bool{}
+	at, answers := uint64(first), 0
+	for at != last {
+		part, next, ok := l.after(at)
+		if !ok || next <= at {
+			t.Fatalf("after %d: up to %d, %v", at, next, ok)
+		}
+		sum := 0
+		for _, item := range part {
+			sum += len(item.Data)
+			seen[item.Key] = true
+		}
+		if sum > batchBytes && len(part) > 1 {
+			t.Errorf("%d bytes in %d items", sum, len(part))
+		}
+		at = next
+		answers++
+	}
+	if len(seen) != keys+1 {
+		t.Errorf("%d of %d keys were told", len(seen), keys+1)
+	}
+	if least := keys * size / batchBytes; answers < least {
+		t.Errorf("%d answers, want %d or more", answers, least)
+	}
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -34,6 +34,10 @@
 	// force within seconds, and the questions cost the platform nothing.
 	relayInterval = 250 * time.Millisecond
 
+	// batchInterval is the same after an answer with changes. It bounds what a process that lags far
+	// behind asks of another's link.
+	batchInterval = 50 * time.Millisecond
+
 	// relayPatience is how long the others may not know before a process that relies on them asks the
 	// store itself: two tries, each with another process.
 	relayPatience = 2 * relayInterval
@@ -125,14 +129,19 @@
 		direct := w.Direct == nil || w.Direct()
 		if w.Relay != nil && (!direct || w.failing.Load()) {
 			items, next, ok := w.Relay(ctx, w.Prefix, at)
+			between := relayInterval
 			if ok {
+				if len(items) > 0 {
+					// There may be more than one answer holds.
+					between = batchInterval
+				}
 				at = w.take(items, max(at, next), false)
 				w.relayed = clock.Now()
 				w.ownAfter = w.relayed.Add(relayPatience)
 				w.heard("another process")
 			}
 			if !direct && clock.Now() < w.ownAfter {
-				pause(ctx, relayInterval)
+				pause(ctx, between)
 				continue
 			}
 		}
