claim: a released service is told by its record alone

Cause: the process that released it also told, when asked, that it had given up the holding. Ruled out: the release itself (written 0.44 s after the signal) and the drain.

A holding whose release is confirmed is no longer told as given up; one whose release isn't still is. TestReleaseIsTakenBySuccessor failed before (4 vain writes).

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -56,6 +56,32 @@
 	}
 }
 
+// TestReleaseIsTakenBySuccessor releases a service while the others hear of the store's changes late, as in a
+// planned stop before a slow store. Nobody may ask for it at the revision before the release, which would keep
+// the successor busy, and the successor takes it as soon as it hears of it.
+func TestReleaseIsTakenBySuccessor(t *testing.T) {
+	t.Parallel()
+	w := newWorld()
+	w.start(t, 5)
+	holder := w.await(t, "holder", 5*time.Second, func(*Claim) bool { return true })
+	time.Sleep(votersPause)
+	successor := nodeName(4)
+	w.change(func() {
+		w.unseen = true
+		w.conflicts = 0
+	})
+	holder.Leave()
+	holder.Release(t.Context(), successor)
+	time.Sleep(succession)
+	w.change(func() {
+		if w.conflicts > 0 {
+			t.Errorf("%d writes at a revision that is gone", w.conflicts)
+		}
+		w.unseen = false
+	})
+	w.await(t, "successor", 5*succession, func(c *Claim) bool { return c.Self.Node == successor })
+}
+
 // TestSuccessorWaitsForPromises cuts the holder from the store and from one other process, which
 // takes the record. The holder has its promises from the rest, so the successor has to wait until
 // these bar them.
--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -30,6 +30,12 @@
 	loseReply map[string]bool
 	cutPeers  map[[2]string]bool
 	lateness  time.Duration
+
+	// unseen keeps changes from those that watch the store.
+	unseen bool
+
+	// conflicts counts writes at a revision that is no longer the newest.
+	conflicts int
 }
 
 func newWorld() *world {
@@ -82,7 +88,7 @@
 		item := w.item
 		open := []*Claim{}
 		for _, c := range w.claims {
-			if !w.cutStore[c.Self.Node] {
+			if !w.cutStore[c.Self.Node] && !w.unseen {
 				open = append(open, c)
 			}
 		}
@@ -193,6 +199,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.item.Revision != revision {
+		w.conflicts++
 		return 0, errors.Trace(egret.ErrConflict)
 	}
 	w.revision++
--- a/claim/holding.go
+++ b/claim/holding.go
@@ -72,11 +72,26 @@
 	for ctx.Err() == nil {
 		_, err := c.write(ctx, revision, record)
 		c.Trail.Event("service-released").Str("service", c.Service).Uint64("revision", revision).Str("successor", successor).Err(err).Msg("this process has left the service")
-		if err == nil || errors.Is(err, egret.ErrConflict) {
+		if err == nil {
+			c.endReleased()
+			return
+		}
+		if errors.Is(err, egret.ErrConflict) {
 			break
 		}
 	}
-	c.stop("released")
+	c.stop("the release was not confirmed")
+}
+
+// endReleased ends a holding whose record says that it is released. The process doesn't tell others of it:
+// they would ask for the service at the revision before the release, in vain and ahead of the successor.
+func (c *Claim) endReleased() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mine != 0 {
+		c.end("released")
+	}
+	c.givenUp = 0
 }
 
 // SetPrimary records the member that is about to be made primary.
