caller: TestStartParameters looks for the session with the options

Cause: the server sends its greeting before it calls Serve, where the test's handler notes the start, so that a session can be noted after the next one. The test took the third noted start for that of the third connection. It now waits for all accepted sessions and requires that exactly one of them has the token and is read-only, and that no other has either, which is stricter than before.

--- a/caller/start_test.go
+++ b/caller/start_test.go
@@ -53,6 +53,7 @@
 // support instead of ignoring them.
 func TestStartParameters(t *testing.T) {
 	ts := startServer(t, nil)
+	accepted := 0
 	for _, c := range []struct {
 		name, value string
 		code        string
@@ -81,12 +82,28 @@
 			t.Errorf("%s=%s: %v", c.name, c.value, err)
 			continue
 		}
+		accepted++
 		conn.Close(t.Context())
 	}
+	// The greeting is sent before the session is served, so that sessions may be noted late and in another order.
+	waitFor(t, "all accepted sessions", func() bool {
+		ts.handler.mu.Lock()
+		defer ts.handler.mu.Unlock()
+		return len(ts.handler.startups) >= accepted
+	})
 	ts.handler.mu.Lock()
 	defer ts.handler.mu.Unlock()
-	if s := ts.handler.startups[2]; s.Token != "abc" || !s.ReadOnly {
-		t.Errorf("options gave %+v", s)
+	withOptions := 0
+	for _, s := range ts.handler.startups {
+		switch {
+		case s.Token == "abc" && s.ReadOnly:
+			withOptions++
+		case s.Token != "" || s.ReadOnly:
+			t.Errorf("start-up parameters gave %+v", s)
+		}
+	}
+	if len(ts.handler.startups) != accepted || withOptions != 1 {
+		t.Errorf("%d sessions, %d of them with the options; want %d and 1", len(ts.handler.startups), withOptions, accepted)
 	}
 }
 
