peer: an update that nobody has queued is repaired at once

Cause of the misses of TestFactsAndTablesSpread and TestLeavingProxyTakesNoLanes: an update is sent a limited number of times, also when the exchange that carries it fails or the receiver has it already. With a flood and some slow exchanges it is used up before one proxy has it. The digests show the difference, but its repair waited until no node had changed for the propagation time, 3.2 s with 20 proxies, as proxies had just joined.

A difference is now also repaired if no update is queued here, since gossip can't resolve it then. The budget for repairs bounds the traffic as before.

--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -145,6 +145,32 @@
 	}
 }
 
+// TestMissedUpdateIsRepaired leaves one proxy without a primary that all others know and have sent often enough. The
+// fleet has just formed, so that nodes have changed within the propagation time.
+func TestMissedUpdateIsRepaired(t *testing.T) {
+	f := newFleet(t, fleetSize)
+	for i, p := range f.proxies {
+		p.mu.Lock()
+		for p.table.Pending() > 0 {
+			p.table.TakeUpdates(1 << 20)
+		}
+		if i != 11 {
+			p.applyChange(p.table.LoadFact(egret.GroupPrimary{
+				Group:   "catalogo-1",
+				Term:    3,
+				Primary: "member-2",
+			}))
+		}
+		p.mu.Unlock()
+	}
+	took := f.waitFor(t, "all know the primary", func() bool {
+		return f.allKnowTerm("catalogo-1", 3)
+	})
+	if took > 2*time.Second {
+		t.Errorf("the primary was known after %v, want within 2 s", took)
+	}
+}
+
 func TestCancelFindsProxy(t *testing.T) {
 	f := newFleet(t, 3)
 	f.proxies[2].OnCancel = func(process uint32, secret []byte) bool {
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -76,12 +76,13 @@
 	return 0
 }
 
-// differencePersists reports whether gossip alone is unlikely to resolve a difference to a peer soon: no node has
-// changed here for the propagation time, or for four times as long no peer was in sync and no repair was started, or
-// more updates are queued than two messages carry. The caller holds mu.
+// differencePersists reports whether gossip alone is unlikely to resolve a difference to a peer soon: no update is
+// queued here, or more than two messages carry, or no node has changed here for the propagation time, or for four times
+// as long no peer was in sync and no repair was started. The caller holds mu.
 func (m *Mesh) differencePersists(now time.Time) bool {
 	propagation := m.propagationTime()
-	return m.table.Pending() > largeBacklog || now.Sub(m.table.Changed()) > propagation || now.Sub(m.lastInSync) > 4*propagation
+	pending := m.table.Pending()
+	return pending == 0 || pending > largeBacklog || now.Sub(m.table.Changed()) > propagation || now.Sub(m.lastInSync) > 4*propagation
 }
 
 // handleReply merges the updates of a reply and pulls what differs by its digest.
