lane: a lost state request after a commit is unknown, and no overdue statement is forgotten

Two faults found by reading, each with a test that failed first: - fetchState ran the state request as a second exchange, which resets sent. If the connection was lost between the two, a batch that had committed was reported as not run. The failure is now unknown whatever was sent. - terminateOverdue took all overdue statements and put back only the one whose termination failed. The slots of the others leaked, and a handover could not finish. It puts back all that are left.

--- a/lane/exchange.go
+++ b/lane/exchange.go
@@ -332,7 +332,7 @@
 	if e.refusal == nil || e.hadEffect || e.delivered {
 		return nil
 	}
-	if e.refusal.Reason == egret.ReasonNotPrimary && e.errorCode == codeReadOnly && e.state.Role == egret.RolePrimary {
+	if e.refusal.Reason == egret.ReasonNotPrimary && e.errorCode == egret.CodeReadOnly && e.state.Role == egret.RolePrimary {
 		return nil
 	}
 	return e.refusal
--- a/lane/exchange_test.go
+++ b/lane/exchange_test.go
@@ -57,6 +57,39 @@
 	}
 }
 
+// TestLostStateRequestAfterACommitIsUnknown loses the connection between a batch that committed and the request for the
+// member's state, of which no byte is sent.
+func TestLostStateRequestAfterACommitIsUnknown(t *testing.T) {
+	b := newTestbed(t)
+	m, _ := b.startProxy("proxy-1")
+	l := b.lane(m)
+	c, err := l.acquireConn(t.Context(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.discard(c, closedAnswer)
+	c.memberConn.Close()
+	tx := &transaction{
+		lane:    l,
+		options: optionsFor(false),
+	}
+	e := &exchange{
+		conn:       c,
+		options:    tx.options,
+		firstBatch: true,
+		hadEffect:  true,
+		wrote:      true,
+		sent:       true,
+		status:     egret.TxIdle,
+	}
+	if f := tx.fetchState(t.Context(), e); f == nil || f.Outcome != egret.OutcomeUnknown {
+		t.Errorf("failure = %v, want one of unknown outcome", f)
+	}
+	if !e.dirty || e.mayStillRun() {
+		t.Errorf("dirty = %v, may still run = %v, want true and false", e.dirty, e.mayStillRun())
+	}
+}
+
 func TestOverdueStatementIsCancelledAndItsConnectionNotReused(t *testing.T) {
 	b := newTestbed(t)
 	m, _ := b.startProxy("proxy-1")
--- a/lane/manager_test.go
+++ b/lane/manager_test.go
@@ -202,6 +202,13 @@
 	return 0
 }
 
+// lane returns the proxy's lane of member-1.
+func (b *testbed) lane(m *Manager) *lane {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lanes["member-1"]
+}
+
 func (b *testbed) eventually(what string, reached func() bool) {
 	b.t.Helper()
 	end := time.Now().Add(conditionTimeout)
--- a/lane/outcome.go
+++ b/lane/outcome.go
@@ -14,7 +14,6 @@
 // SQLSTATE codes of members' errors that determine an outcome, and severities that end a
 // connection.
 const (
-	codeReadOnly           = "25006"
 	codeRolledBack         = "40000"
 	codeTooManyConnections = "53300"
 	codeCanceled           = "57014"
@@ -51,7 +50,7 @@
 	switch m.Code {
 	case member.CodeFloorTimeout:
 		return notRun(egret.ReasonFloor, "member %s has not reached the session's floor", name)
-	case codeReadOnly:
+	case egret.CodeReadOnly:
 		if readOnly {
 			return notRun(egret.ReasonReadOnly, "a read-only transaction tried to write on member %s", name)
 		}
--- a/lane/slotlocker.go
+++ b/lane/slotlocker.go
@@ -81,9 +81,10 @@
 
 // terminateOverdue terminates the connections of overdue statements and releases their slots.
 func (s *slotLocker) terminateOverdue() error {
-	for _, o := range s.lane.takeOverdue() {
+	overdue := s.lane.takeOverdue()
+	for i, o := range overdue {
 		if err := s.terminate(o.processID); err != nil {
-			s.lane.addOverdue(o)
+			s.lane.addOverdue(overdue[i:]...)
 			return err
 		}
 		s.lane.releaseSlot(o.item, o.grantedAt)
--- a/lane/slots.go
+++ b/lane/slots.go
@@ -135,13 +135,13 @@
 	}
 }
 
-// addOverdue queues a statement for termination on the member. The slot is released after that.
+// addOverdue queues statements for termination on the member. Their slots are released after that.
 // Idle connections are closed, since they may have failed as well.
-func (l *lane) addOverdue(o overdueStatement) {
+func (l *lane) addOverdue(statements ...overdueStatement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closeIdle(time.Time{}, closedSilent)
-	l.overdue = append(l.overdue, o)
+	l.overdue = append(l.overdue, statements...)
 	l.wakeSlotLocker()
 }
 
--- a/lane/slots_test.go
+++ b/lane/slots_test.go
@@ -179,3 +179,34 @@
 		return len(m.Status()) == 0
 	})
 }
+
+// TestOverdueStatementsAreKeptAfterAFailedTermination lets the connection for the slot locks fail at the first of two
+// overdue statements. The next connection has to terminate both.
+func TestOverdueStatementsAreKeptAfterAFailedTermination(t *testing.T) {
+	b := newTestbed(t)
+	m, _ := b.startProxy("proxy-1")
+	l := &lane{
+		manager: m,
+		ctx:     t.Context(),
+	}
+	slotConn, err := b.lane(m).openSlots()
+	if err != nil {
+		t.Fatal(err)
+	}
+	slotConn.Close()
+	for process := range uint32(2) {
+		l.overdue = append(l.overdue, overdueStatement{
+			processID: process + 1,
+		})
+	}
+	s := slotLocker{
+		lane:     l,
+		slotConn: slotConn,
+	}
+	if err := s.terminateOverdue(); err == nil {
+		t.Error("a termination on a closed connection succeeded")
+	}
+	if n := len(l.takeOverdue()); n != 2 {
+		t.Errorf("%d overdue statements kept, want 2", n)
+	}
+}
--- a/lane/transact.go
+++ b/lane/transact.go
@@ -271,7 +271,8 @@
 	if err := e.run(ctx); err != nil {
 		e.dirty = true
 		if e.wrote {
-			return e.incompleteFailure(err)
+			// The batch has committed. Whether the state request was sent says nothing about it.
+			return unknown(egret.ReasonMemberUnreachable, "member %s: %v", e.options.Member, err)
 		}
 	}
 	return nil
