entry: a read-only session writes nothing outside of BEGIN either

Cause: SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY counted for transactions that the caller opens only, so that an INSERT by itself went to the primary as a write. Such statements now run read-only, and what writes among them is refused with 25006, as the database does it. Seen beside: a write behind BEGIN READ ONLY in one batch was tried again until its budget ended, as the refusal is "not run"; it is final now. TestReadOnlySessionDoesNotWrite failed first (one attempt as a write; for a SELECT that writes, a second one on the primary).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,6 +19,9 @@
 		if f == nil {
 			return result, nil
 		}
+		if f.Reason == egret.ReasonReadOnly && !q.readOnlyInferred {
+			return egret.BatchResult{}, readOnlyFailure()
+		}
 		if !q.mayRetry(f) {
 			return egret.BatchResult{}, f
 		}
@@ -230,6 +233,16 @@
 	return o
 }
 
+// readOnlyFailure returns the failure of a write in a transaction or session that the caller has set to read-only.
+func readOnlyFailure() *egret.Failure {
+	return &egret.Failure{
+		Outcome: egret.OutcomeNotRun,
+		Reason:  egret.ReasonReadOnly,
+		Code:    egret.CodeReadOnly,
+		Message: "cannot write in a read-only transaction",
+	}
+}
+
 func notRunFailure(r egret.Reason, message string) *egret.Failure {
 	return &egret.Failure{
 		Outcome: egret.OutcomeNotRun,
--- a/entry/local_test.go
+++ b/entry/local_test.go
@@ -96,6 +96,32 @@
 	}
 }
 
+// TestReadOnlySessionDoesNotWrite checks that statements outside of BEGIN run read-only in a session that is set to
+// read-only, that a write among them is refused as the database does it, and that neither is tried as a write.
+func TestReadOnlySessionDoesNotWrite(t *testing.T) {
+	tp := startProxy(t, func(_ int, o egret.TransactionOptions) (egret.BatchResult, error) {
+		if o.ReadOnly {
+			return failed(egret.OutcomeNotRun, egret.ReasonReadOnly, egret.CodeNotRun)
+		}
+		return completed(egret.TxIdle, 1)
+	})
+	c := tp.connect(t, "")
+	if err := exec(c, "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY"); err != nil {
+		t.Fatal(err)
+	}
+	for _, query := range []string{"INSERT INTO orders VALUES ('a')", "SELECT book('a')"} {
+		before := len(tp.lanes.allAttempts())
+		wantCode(t, exec(c, query), "25006")
+		attempts := tp.lanes.allAttempts()[before:]
+		if len(attempts) != 1 || !attempts[0].ReadOnly {
+			t.Errorf("%s: attempts %+v, want one that is read-only", query, attempts)
+		}
+	}
+	if err := exec(c, "BEGIN READ WRITE; INSERT INTO orders VALUES ('a'); COMMIT"); err != nil {
+		t.Errorf("a transaction that is opened as read-write: %v", err)
+	}
+}
+
 // TestOutcomesAreCounted checks that requests that the database rejects or the proxy refuses are not counted with
 // the outcome ok.
 func TestOutcomesAreCounted(t *testing.T) {
--- a/entry/request.go
+++ b/entry/request.go
@@ -32,7 +32,7 @@
 	pool    *egret.Pool
 	group   *egret.Group
 
-	// readOnly reports whether the batch may run on a replica.
+	// readOnly reports whether the batch runs read-only, so that it may run on a replica.
 	readOnly bool
 
 	// readOnlyInferred reports whether readOnly was inferred from the first words of the statements. The batch may
@@ -122,15 +122,17 @@
 	if r.MaxAge >= 0 {
 		maxAge = r.MaxAge
 	}
+	readOnlySession := s.readOnly && !r.Has(route.ActionBegin)
+	readOnly := r.ReadOnly() || readOnlySession
 	return &request{
 		session:          s,
 		in:               in,
 		route:            rt,
 		pool:             p,
 		group:            g,
-		readOnly:         r.ReadOnly(),
-		readOnlyInferred: !r.Has(route.ActionBeginReadOnly),
-		needsFloor:       r.ReadOnly() || r.Has(route.ActionBegin),
+		readOnly:         readOnly,
+		readOnlyInferred: !r.Has(route.ActionBeginReadOnly) && !readOnlySession,
+		needsFloor:       readOnly || r.Has(route.ActionBegin),
 		maxAge:           maxAge,
 		retryable:        rt.Retryable || r.IdempotencyKey != "",
 		plan: retry.Plan{
--- a/entry/session.go
+++ b/entry/session.go
@@ -34,8 +34,8 @@
 	// floorLookedUp has the groups whose confirmed position was looked up in this session.
 	floorLookedUp map[string]struct{}
 
-	// readOnly reports whether transactions that the caller opens with BEGIN or START are read-only by default. It
-	// doesn't apply to statements outside such a transaction.
+	// readOnly reports whether the session's transactions are read-only by default, also those of statements outside
+	// of BEGIN.
 	readOnly bool
 
 	// openTx is the open transaction. Its tx is nil if there is none.
--- a/failure.go
+++ b/failure.go
@@ -129,6 +129,9 @@
 	// CodeNotRun is reported for requests that were not executed and can be retried.
 	CodeNotRun = "57P03"
 
+	// CodeReadOnly is reported for writes in read-only transactions and sessions. They were not executed.
+	CodeReadOnly = "25006"
+
 	// CodeUnknown is reported when it is unknown whether the request was executed.
 	CodeUnknown = "08007"
 
