lane, relay, entry: a read that a member began is never reported as not run

Cause: a read that was sent and lost, or cancelled at the end of its time, counted as not run, since it has no effect and may be sent elsewhere; and of several attempts the last one's outcome was reported. Reads of both kinds are now of unknown outcome, for which the entry retries reads as before, and a request whose earlier attempt may have run stays unknown if a later one hasn't run. Four checks asked for "not run" of a read that a member had begun; they are replaced by ones that ask for "unknown" with the same reason, as README.md says that "not run" is said only where it is proved. TestBegunReadIsNotReportedAsNotRun, and a case of a cancelled read, failed first.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,13 +12,24 @@
 // floorLookupTimeout bounds the lookup of a group's confirmed position in one attempt.
 const floorLookupTimeout = time.Second
 
-// run attempts the request until it is answered, may not be retried, or its time budget ends.
+// run attempts the request until it is answered, may not be retried, or its time budget ends. If a member may have begun
+// it in an earlier attempt, its outcome is unknown although the last attempt has not run.
 func (q *request) run(ctx context.Context) (egret.BatchResult, *egret.Failure) {
+	var begun *egret.Failure
 	for {
 		result, f := q.attempt(ctx)
 		if f == nil {
 			return result, nil
 		}
+		if f.Outcome == egret.OutcomeUnknown {
+			begun = f
+		}
+		if begun != nil && f.Outcome == egret.OutcomeNotRun {
+			unknown := *f
+			unknown.Outcome, unknown.Code = egret.OutcomeUnknown, egret.CodeUnknown
+			unknown.Message += "; before that: " + begun.Message
+			f = &unknown
+		}
 		if f.Reason == egret.ReasonReadOnly && !q.readOnlyInferred {
 			return egret.BatchResult{}, readOnlyFailure()
 		}
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// TestBegunReadIsNotReportedAsNotRun lets a replica begin a read that no other member takes afterwards.
+func TestBegunReadIsNotReportedAsNotRun(t *testing.T) {
+	tp := startProxy(t, func(n int, _ egret.TransactionOptions) (egret.BatchResult, error) {
+		if n == 1 {
+			return failed(egret.OutcomeUnknown, egret.ReasonMemberUnreachable, egret.CodeUnknown)
+		}
+		return failed(egret.OutcomeNotRun, egret.ReasonQueue, egret.CodeNotRun)
+	})
+	wantCode(t, exec(tp.connect(t, ""), "SELECT 1"), egret.CodeUnknown)
+	if n := len(tp.lanes.allAttempts()); n < 2 {
+		t.Errorf("%d attempts, want 2 or more", n)
+	}
+}
+
 func TestIdempotentWriteWithUnknownOutcomeIsRepeated(t *testing.T) {
 	tp := startProxy(t, func(n int, _ egret.TransactionOptions) (egret.BatchResult, error) {
 		if n == 1 {
--- a/lane/exchange.go
+++ b/lane/exchange.go
@@ -344,11 +344,15 @@
 }
 
 // cancelledFailure returns the failure of a statement that the member cancelled after a time-out.
-// The member rolls a cancelled statement back; only what the batch committed before it may persist.
+// The member rolls a cancelled statement back, so that nothing of a write is kept; only what the
+// batch committed before it may persist. A read has run in part.
 func (e *exchange) cancelledFailure() *egret.Failure {
 	if e.hadEffect && e.status == egret.TxIdle {
 		return unknown(egret.ReasonOther, "member %s: time ran out behind a completed command", e.options.Member)
 	}
+	if e.options.ReadOnly {
+		return unknown(egret.ReasonOther, "member %s: time ran out, the read was cancelled", e.options.Member)
+	}
 	return notRun(egret.ReasonOther, "member %s: time ran out, the statement was cancelled", e.options.Member)
 }
 
@@ -359,8 +363,6 @@
 		return notRun(egret.ReasonMemberUnreachable, "member %s: %v", e.options.Member, err)
 	case !e.sent:
 		return notRun(egret.ReasonOther, "member %s, transaction rolled back: %v", e.options.Member, err)
-	case e.options.ReadOnly && e.firstBatch && !e.delivered && !e.wrote:
-		return notRun(egret.ReasonMemberUnreachable, "member %s: %v", e.options.Member, err)
 	default:
 		return unknown(egret.ReasonMemberUnreachable, "member %s: %v", e.options.Member, err)
 	}
--- a/lane/exchange_test.go
+++ b/lane/exchange_test.go
@@ -24,7 +24,7 @@
 		{name: "read", readOnly: true, batches: []string{"SELECT 7"}, answer: "7 done"},
 		{name: "write", batches: []string{"INSERT 7"}, answer: "done"},
 		{name: "refused", batches: []string{"FAIL 23505"}, answer: "error:23505"},
-		{name: "read cut", readOnly: true, batches: []string{"SELECT cut"}, outcome: egret.OutcomeNotRun, reason: egret.ReasonMemberUnreachable},
+		{name: "read cut", readOnly: true, batches: []string{"SELECT cut"}, outcome: egret.OutcomeUnknown, reason: egret.ReasonMemberUnreachable},
 		{name: "write cut", batches: []string{"INSERT cut"}, outcome: egret.OutcomeUnknown, reason: egret.ReasonMemberUnreachable},
 		{name: "write cut in transaction", batches: []string{"BEGIN", "INSERT cut"}, outcome: egret.OutcomeUnknown, reason: egret.ReasonMemberUnreachable},
 		{name: "write in read", readOnly: true, batches: []string{"INSERT 7"}, outcome: egret.OutcomeNotRun, reason: egret.ReasonReadOnly},
@@ -100,6 +100,11 @@
 	if f := failureOf(t, err); f.Outcome != egret.OutcomeNotRun {
 		t.Errorf("failure = %v, want not run: the member cancelled the statement", err)
 	}
+	o.ReadOnly = true
+	_, _, err = transact(t, m, o, simple("SELECT hang"))
+	if f := failureOf(t, err); f.Outcome != egret.OutcomeUnknown {
+		t.Errorf("failure of a read = %v, want unknown: the member began it", err)
+	}
 	answer, _, err := transact(t, m, optionsFor(false), simple("SELECT 2"))
 	if err != nil || answer != "2 done" {
 		t.Errorf("next answer = %q, %v, want its own", answer, err)
@@ -122,8 +127,8 @@
 	m, _ := b.startProxy("proxy-1")
 	began := time.Now()
 	_, _, err := transact(t, m, optionsFor(true), simple("SELECT lost"))
-	if f := failureOf(t, err); f.Outcome != egret.OutcomeNotRun || f.Reason != egret.ReasonMemberUnreachable {
-		t.Errorf("failure = %v, want not run because of the member", f)
+	if f := failureOf(t, err); f.Outcome != egret.OutcomeUnknown || f.Reason != egret.ReasonMemberUnreachable {
+		t.Errorf("failure = %v, want one of unknown outcome because of the member", f)
 	}
 	if took := time.Since(began); took > 2*time.Second {
 		t.Errorf("the silent connection was found after %v, want 2 s at most", took)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -209,11 +209,11 @@
 		name     string
 		readOnly bool
 		answered bool
-		want     egret.Outcome
+		want     egret.Reason
 	}{
-		{name: "write", want: egret.OutcomeUnknown},
-		{name: "read", readOnly: true, want: egret.OutcomeNotRun},
-		{name: "read half answered", readOnly: true, answered: true, want: egret.OutcomeUnknown},
+		{name: "write", want: egret.ReasonMemberUnreachable},
+		{name: "read", readOnly: true, want: egret.ReasonNoLane},
+		{name: "read half answered", readOnly: true, answered: true, want: egret.ReasonMemberUnreachable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -236,8 +236,8 @@
 			}, func() {
 				close(arrived)
 			})
-			if err == nil || egret.FailureOf(err).Outcome != tt.want {
-				t.Errorf("failure = %v, want %s", err, tt.want)
+			if err == nil || egret.FailureOf(err).Outcome != egret.OutcomeUnknown || egret.FailureOf(err).Reason != tt.want {
+				t.Errorf("failure = %v, want one of unknown outcome with the reason %s", err, tt.want.Label())
 			}
 		})
 	}
--- a/relay/transact.go
+++ b/relay/transact.go
@@ -149,16 +149,17 @@
 	return f
 }
 
-// lostFailure returns the failure of a batch that was sent and got no complete answer. Its outcome is unknown, except
-// for the first batch of a read-only transaction: a read has no effect, so it may be sent elsewhere if no part of its
-// answer has arrived.
+// lostFailure returns the failure of a batch that was sent and got no complete answer. Its outcome is unknown. The first
+// batch of a read-only transaction counts as lost with the lane if no part of its answer has arrived, so that it is sent
+// elsewhere at once.
 func (t *transaction) lostFailure(first bool, answered bool, err error) *egret.Failure {
+	reason := egret.ReasonMemberUnreachable
 	if t.options.ReadOnly && first && !answered {
-		return noLaneFailure("proxy %s gave no answer: %v", t.holder.ID, err)
+		reason = egret.ReasonNoLane
 	}
 	return &egret.Failure{
 		Outcome: egret.OutcomeUnknown,
-		Reason:  egret.ReasonMemberUnreachable,
+		Reason:  reason,
 		Code:    egret.CodeUnknown,
 		Message: fmt.Sprintf("proxy %s gave no whole answer: %v", t.holder.ID, err),
 	}
