proof: TestGracefulShutdown reads a member's newest events only

A fault of the test, traced before: it waited for a statement to begin by reading all events of each member, which took up to 3.3 s on a busy machine, so that the statement could end by its budget before the kill. The stand-in's /stats takes ?events=COUNT now, the test reads the newest 1,000, and fails by name if the statement ends before the kill.

--- a/egretlab/pgsim/client_test.go
+++ b/egretlab/pgsim/client_test.go
@@ -225,7 +225,7 @@
 	exec(t, c, "SELECT * FROM platform.position()")
 	exec(t, c, "COMMIT")
 	var kinds []stats.Kind
-	for _, e := range m.recorder.Connections()[0].Events {
+	for _, e := range m.recorder.Connections(stats.MaxEvents)[0].Events {
 		kinds = append(kinds, e.Kind)
 	}
 	want := []stats.Kind{stats.KindBegin, stats.KindStatement, stats.KindStatement, stats.KindStatement, stats.KindCommit}
--- a/egretlab/pgsim/operator.go
+++ b/egretlab/pgsim/operator.go
@@ -77,7 +77,7 @@
 // faults that tests inject.
 //
 //	GET  /live, /ready
-//	GET  /log?after=OFFSET (the entries after the offset), /state, /stats
+//	GET  /log?after=OFFSET (the entries after the offset), /state, /stats?events=COUNT (the newest events)
 //	POST /lag?duration=5s, /delay?duration=5s, /leaving?value=true, /refuse?value=true
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
@@ -136,7 +136,16 @@
 	writeJSON(w, reply)
 }
 
-func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) getStats(w http.ResponseWriter, r *http.Request) {
+	limit := stats.MaxEvents
+	if text := r.URL.Query().Get("events"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			http.Error(w, "events: a count of zero or more is needed, as 100", http.StatusBadRequest)
+			return
+		}
+		limit = n
+	}
 	_, connections, refused := s.registry.usage()
 	_, running := s.shared.Platform.Slots.Usage()
 	writeJSON(w, StatsReply{
@@ -144,7 +153,7 @@
 		HighestRunning:     running,
 		RefusedConnections: refused,
 		Totals:             s.recorder.Totals(),
-		Connections:        s.recorder.Connections(),
+		Connections:        s.recorder.Connections(limit),
 	})
 }
 
--- a/egretlab/pgsim/stats/stats.go
+++ b/egretlab/pgsim/stats/stats.go
@@ -2,7 +2,7 @@
 // transactions were interleaved on a connection.
 //
 //	r.Record(event)
-//	for _, c := range r.Connections() {
+//	for _, c := range r.Connections(stats.MaxEvents) {
 //		check(c.Events)
 //	}
 //
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxEvents is the number of events in a full ring.
-	maxEvents = 1 << 16
+	// MaxEvents is the number of events in a full ring.
+	MaxEvents = 1 << 16
 
 	// maxTextBytes limits the statement text in an event.
 	maxTextBytes = 256
@@ -92,7 +92,7 @@
 	// nextSequence is the sequence number of the next event.
 	nextSequence uint64
 
-	// ring holds the newest events. The event with sequence n is at index n modulo maxEvents.
+	// ring holds the newest events. The event with sequence n is at index n modulo MaxEvents.
 	ring []Event
 
 	// totals holds the number of attempts by command.
@@ -115,10 +115,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e.Sequence = r.nextSequence
-	if len(r.ring) < maxEvents {
+	if len(r.ring) < MaxEvents {
 		r.ring = append(r.ring, e)
 	} else {
-		r.ring[r.nextSequence%maxEvents] = e
+		r.ring[r.nextSequence%MaxEvents] = e
 	}
 	r.nextSequence++
 }
@@ -140,10 +140,12 @@
 	return all
 }
 
-// Connections returns the events of each connection, ordered by process number.
-func (r *Recorder) Connections() []Connection {
+// Connections returns the newest events of each connection, ordered by process number. limit bounds the events of all
+// connections together.
+func (r *Recorder) Connections(limit int) []Connection {
 	all := []Connection{}
-	for _, e := range r.orderedEvents() {
+	events := r.orderedEvents()
+	for _, e := range events[max(0, len(events)-limit):] {
 		i, found := slices.BinarySearchFunc(all, e.Process, func(c Connection, process uint32) int {
 			return cmp.Compare(c.Process, process)
 		})
@@ -161,9 +163,9 @@
 func (r *Recorder) orderedEvents() []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.ring) < maxEvents {
+	if len(r.ring) < MaxEvents {
 		return slices.Clone(r.ring)
 	}
-	oldest := r.nextSequence % maxEvents
+	oldest := r.nextSequence % MaxEvents
 	return append(slices.Clone(r.ring[oldest:]), r.ring[:oldest]...)
 }
--- a/egretlab/proof/leaving_test.go
+++ b/egretlab/proof/leaving_test.go
@@ -200,7 +200,7 @@
 // transactionsAfter returns the begin events of the callers' transactions that started on a member after a time.
 func (c *cluster) transactionsAfter(m *node, after time.Time) []stats.Event {
 	c.t.Helper()
-	s, err := m.stats()
+	s, err := m.stats(stats.MaxEvents)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/egretlab/proof/members_test.go
+++ b/egretlab/proof/members_test.go
@@ -88,10 +88,10 @@
 	return logs
 }
 
-// stats returns the member's counters and its latest events.
-func (n *node) stats() (pgsim.StatsReply, error) {
+// stats returns the member's counters and its newest events, up to the given number.
+func (n *node) stats(events int) (pgsim.StatsReply, error) {
 	s := pgsim.StatsReply{}
-	err := getJSON(statsClient, n.operator, "/stats", &s)
+	err := getJSON(statsClient, n.operator, fmt.Sprintf("/stats?events=%d", events), &s)
 	return s, err
 }
 
@@ -100,7 +100,7 @@
 func (c *cluster) wantWithinLimits(t testing.TB) {
 	t.Helper()
 	for _, m := range c.members {
-		s, err := m.stats()
+		s, err := m.stats(0)
 		if err != nil {
 			t.Errorf("stats of %s: %v", m.name, err)
 			continue
@@ -117,7 +117,7 @@
 	c.t.Helper()
 	n := 0
 	for _, m := range c.members {
-		s, err := m.stats()
+		s, err := m.stats(0)
 		if err != nil {
 			c.t.Fatal(err)
 		}
--- a/egretlab/proof/mixing_test.go
+++ b/egretlab/proof/mixing_test.go
@@ -226,7 +226,7 @@
 func (c *cluster) wantOneTransactionAtATime(t *testing.T) {
 	t.Helper()
 	for _, m := range c.members {
-		s, err := m.stats()
+		s, err := m.stats(stats.MaxEvents)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/egretlab/proof/stop_test.go
+++ b/egretlab/proof/stop_test.go
@@ -19,6 +19,10 @@
 // confirmLatency is the latency added, in each direction, to the links to the members that confirm writes.
 const confirmLatency = 150 * time.Millisecond
 
+// recentEvents is how many of a member's newest events are read to see that a statement has begun. Reading all of them
+// takes seconds on a busy machine, in which the statement may end by its budget.
+const recentEvents = 1000
+
 // TestGracefulShutdown shuts down two proxies in turn under load, each with a long statement, an open transaction and an
 // idle session. No request may be interrupted.
 func TestGracefulShutdown(t *testing.T) {
@@ -135,6 +139,9 @@
 	waitUntil(t, 5*time.Second, "long statement on a member", func() error {
 		return c.checkStatementBegun("pg_sleep(10)")
 	})
+	if len(slept) > 0 {
+		t.Fatal("the long statement ended before the kill")
+	}
 	c.proxies[2].kill()
 	if err := <-slept; outcomeOf(err) != unknown {
 		t.Errorf("the check does not detect an interrupted statement: %v", err)
@@ -154,7 +161,7 @@
 // checkStatementBegun returns nil if a member has begun a statement that contains the text, and otherwise an error.
 func (c *cluster) checkStatementBegun(text string) error {
 	for _, m := range c.members {
-		s, err := m.stats()
+		s, err := m.stats(recentEvents)
 		if err != nil {
 			continue
 		}
