group: an ended stream sends no first statement, and a lost BEGIN excludes the member

By the rule PINNED a statement must not run on another connection than its transaction's first one, so the holder must not send it: the transaction is rolled back instead.

Found by reading: a BEGIN that got no answer didn't exclude the member, and each attempt had all the time that was left, so that one silent replica used up a transaction that only reads. Its attempts are bounded like those of single reads.

--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -43,6 +43,12 @@
 	// dropsAnswers makes the member run statements without answering them.
 	dropsAnswers bool
 
+	// onBegin is called before a transaction is opened. It may be nil.
+	onBegin func()
+
+	// dropsBegins makes the member give no answer when a transaction is opened.
+	dropsBegins bool
+
 	// statements are the texts of the statements that ran, floors the floors that they were sent with.
 	statements []string
 	floors     []egret.Position
@@ -218,7 +224,16 @@
 	}
 	switch k.Kind {
 	case egret.CommandBegin, egret.CommandBeginRead:
+		if m.onBegin != nil {
+			m.onBegin()
+		}
 		c.open = true
+		if m.dropsBegins {
+			s.mu.Unlock()
+			time.Sleep(time.Until(deadline))
+			s.mu.Lock()
+			return egret.Answer{}, context.DeadlineExceeded
+		}
 	case egret.CommandRollback:
 		c.open, c.wrote = false, false
 	case egret.CommandDemote:
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -176,6 +176,45 @@
 	}
 }
 
+// TestEndedStreamSendsNoFirstStatement ends the stream while its transaction is opened, as a proxy does that gave up on
+// a holder that was suspended. The proxy has sent the statement elsewhere, so it must not run here as well.
+func TestEndedStreamSendsNoFirstStatement(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.member("a", func(m *fakeMember) { m.onBegin = cancel })
+	w := write("1")
+	w.Begin = egret.VerbBegin
+	if a := l.Stream().Do(ctx, w); !a.Fault.Kind.NotRun() {
+		t.Errorf("answer %+v, want a fault that proves that nothing ran", a)
+	}
+	if n := s.statementCount(); n != 0 {
+		t.Errorf("%d statements ran after the stream had ended", n)
+	}
+	if n := l.connsInUse(); n != 0 {
+		t.Errorf("%d connections in use after the transaction was rolled back", n)
+	}
+}
+
+// TestLostBeginRunsElsewhere lets both replicas give no answer when a transaction is opened. Its time must suffice to
+// open it on the primary.
+func TestLostBeginRunsElsewhere(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	for _, id := range []string{"b", "c"} {
+		s.member(id, func(m *fakeMember) { m.dropsBegins = true })
+	}
+	w := read("1")
+	w.Begin = egret.VerbBeginRead
+	if a := l.Stream().Do(t.Context(), w); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+		t.Errorf("answer %+v, want one of a", a)
+	}
+}
+
 // TestTransactionStaysOnItsConnection runs concurrent transactions with different session values. The pool must not
 // give the connection of an open transaction to another one.
 func TestTransactionStaysOnItsConnection(t *testing.T) {
--- a/group/stream.go
+++ b/group/stream.go
@@ -217,10 +217,7 @@
 func (l *Lane) attempt(c *conn, it *sched.Item, w *egret.StatementRequest, n int) (egret.Answer, bool) {
 	m := c.member
 	floor := l.refreshedFloor(m, it, w)
-	deadline := it.Deadline
-	if it.Need == sched.NeedAny && n < maxAttempts-1 {
-		deadline = min(deadline, clock.Now().Add(max(minReadTimeout, l.readTimeout(m, it))))
-	}
+	deadline := l.attemptDeadline(m, it, n)
 	sent := clock.Now()
 	commands := append(c.setupCommands(w, false), statementCommand(w, floor))
 	answers, err := c.backend.Exchange(time.Now().Add(deadline.Sub(sent)), commands)
@@ -242,6 +239,15 @@
 	return l.evaluate(m, it, w, a)
 }
 
+// attemptDeadline returns until when the member's answer is awaited. n counts the attempts before. Statements that other
+// members can run leave time for further attempts.
+func (l *Lane) attemptDeadline(m *member, it *sched.Item, n int) clock.Time {
+	if it.Need != sched.NeedAny || n >= maxAttempts-1 {
+		return it.Deadline
+	}
+	return min(it.Deadline, clock.Now().Add(max(minReadTimeout, l.readTimeout(m, it))))
+}
+
 // readTimeout returns how long the member's answer to a read may take before the read is sent to another member.
 func (l *Lane) readTimeout(m *member, it *sched.Item) time.Duration {
 	l.mu.Lock()
--- a/group/transact.go
+++ b/group/transact.go
@@ -15,12 +15,12 @@
 	arrived := clock.Now()
 	it := s.lane.newItem(w, arrived, needOf(w))
 	last := busyFault("no member opened the transaction")
-	for range maxAttempts {
+	for attempt := range maxAttempts {
 		c, fault := s.lane.acquireConn(ctx, it, w)
 		if fault.Kind != egret.FaultNone {
 			return s.lane.refusedAnswer(w, fault, last, arrived)
 		}
-		a, opened := s.lane.sendBegin(c, it, w)
+		a, opened := s.lane.sendBegin(c, it, w, attempt)
 		if !opened {
 			s.lane.releaseSlot(c.member)
 			last = a.Fault
@@ -31,6 +31,12 @@
 		}
 		s.conn = c
 		s.wrote = false
+		if ctx.Err() != nil {
+			// The sender has given up this stream, and may have sent the statement on another one.
+			s.lane.releaseSlot(c.member)
+			s.rollback()
+			return s.lane.refusedAnswer(w, abortedFault("the stream ended before the statement was sent"), last, arrived)
+		}
 		return s.exchange(it, w)
 	}
 	return s.lane.refusedAnswer(w, busyFault("no member opened the transaction"), last, arrived)
@@ -38,8 +44,8 @@
 
 // sendBegin sends BEGIN without the first statement: if the member refused to open a transaction, a statement in the
 // same exchange would run outside of one. It returns true if the transaction is open, and otherwise the answer with
-// the fault.
-func (l *Lane) sendBegin(c *conn, it *sched.Item, w *egret.StatementRequest) (egret.Answer, bool) {
+// the fault. n counts the attempts before.
+func (l *Lane) sendBegin(c *conn, it *sched.Item, w *egret.StatementRequest, n int) (egret.Answer, bool) {
 	m := c.member
 	begin := egret.Command{
 		Kind: egret.CommandBegin,
@@ -48,11 +54,13 @@
 		begin.Kind = egret.CommandBeginRead
 		begin.Floor = l.refreshedFloor(m, it, w)
 	}
+	deadline := l.attemptDeadline(m, it, n)
 	sent := clock.Now()
 	commands := append(c.setupCommands(w, false), begin)
-	answers, err := c.backend.Exchange(time.Now().Add(it.Deadline.Sub(sent)), commands)
+	answers, err := c.backend.Exchange(time.Now().Add(deadline.Sub(sent)), commands)
 	if err != nil {
 		l.handleExchangeError(c, w, sent, err)
+		l.excludeMember(it, m)
 		return egret.Answer{
 			Fault: egret.Fault{
 				Kind: egret.FaultTimeout,
