link: opening a stream is bounded by the statement's time

Cause: the stream was opened with a context of its own, so that a statement with 50 ms left waited 503 ms for a process that accepts connections and never answers. The statement's time and its context bound it now, and what opening took is taken off the time that the holder may use. TestOpeningIsBoundedByTheStatement failed first. TestAllFieldsAreTransmitted compares the second statement of its stream, as the time of the first one is shortened; it checks the same fields as exactly as before.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -110,6 +110,8 @@
 	})
 	s := newPool(t).Stream(address, true)
 	defer s.Close()
+	// The time to open the stream is taken off the first statement's timeout.
+	s.Do(t.Context(), w)
 	got := s.Do(t.Context(), w)
 	if d := cmp.Diff(w, seen); d != "" {
 		t.Errorf("statement (-sent +got):\n%s", d)
@@ -146,6 +148,29 @@
 	}
 }
 
+// TestOpeningIsBoundedByTheStatement sends a statement to a process that accepts connections and never answers. The
+// caller must not wait for it longer than for the statement itself, and the statement has not been sent.
+func TestOpeningIsBoundedByTheStatement(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := newPool(t).Stream(netip.MustParseAddrPort(l.Addr().String()), true)
+	defer s.Close()
+	const timeout = 50 * time.Millisecond
+	sent := time.Now()
+	a := s.Do(t.Context(), egret.StatementRequest{
+		Timeout: timeout,
+	})
+	if a.Fault.Kind != egret.FaultNotHolder {
+		t.Errorf("answer %+v, want FaultNotHolder", a)
+	}
+	if took, limit := time.Since(sent), timeout+transitAllowance+100*time.Millisecond; took > limit {
+		t.Errorf("the statement took %v, want %v at most", took, limit)
+	}
+}
+
 // TestPruneForgetsSilentProxies checks that Prune removes a proxy that has stopped, once it has left a ping
 // unanswered for the given age, and keeps one that answers.
 func TestPruneForgetsSilentProxies(t *testing.T) {
--- a/link/stream.go
+++ b/link/stream.go
@@ -5,9 +5,11 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
 	"google.golang.org/grpc"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/clock"
 	"egretlane.example/egret/internal/linkpb"
 	"egretlane.example/egret/spans"
 )
@@ -20,6 +22,9 @@
 	slowAnswerDelay = 350 * time.Millisecond
 )
 
+// errOpenedLate is returned if a stream was opened after its statement's time had ended.
+const errOpenedLate = errors.ConstError("the stream was opened too late for the statement")
+
 // Stream runs the statements of a session on another proxy. It implements egret.Stream.
 type Stream struct {
 	pool       *Pool
@@ -49,9 +54,11 @@
 		if w.InTransaction {
 			return faultAnswer(egret.FaultAborted, "the proxy that had the transaction was lost")
 		}
-		if err := s.open(); err != nil {
+		began := clock.Now()
+		if err := s.open(ctx, w.Timeout); err != nil {
 			return faultAnswer(egret.FaultNotHolder, err.Error())
 		}
+		w.Timeout -= clock.Since(began)
 	}
 	m := requestToWire(&w)
 	m.PassOn = s.mayForward
@@ -74,8 +81,8 @@
 }
 
 // open opens the stream. If there is no connection to the proxy, it waits for the first attempt to connect, which
-// connectTimeout bounds. After a failed attempt, it fails at once until a later one succeeds.
-func (s *Stream) open() error {
+// connectTimeout, the timeout and the context bound. After a failed attempt, it fails at once until a later one succeeds.
+func (s *Stream) open(ctx context.Context, timeout time.Duration) error {
 	e, err := s.pool.peerFor(s.address)
 	if err != nil {
 		return err
@@ -83,8 +90,14 @@
 	s.pool.mu.Lock()
 	client := e.client
 	s.pool.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
-	stream, err := client.Run(ctx)
+	streamCtx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(timeout, cancel)
+	stop := context.AfterFunc(ctx, cancel)
+	stream, err := client.Run(streamCtx)
+	inTime, alive := timer.Stop(), stop()
+	if err == nil && (!inTime || !alive) {
+		err = errOpenedLate
+	}
 	if err != nil {
 		cancel()
 		return err
