links: a cut that ends doesn't open what another cut holds

Cause: the gate of a link was open or closed, so that the end of one of two overlapping cuts let the traffic of both pass, and overlapping cuts of the soak ended early. A gate now counts the cuts that hold it. TestOverlappingCutsHoldOn failed first.

--- a/egretlab/links/cuts.go
+++ b/egretlab/links/cuts.go
@@ -23,24 +23,51 @@
 	return !c.OneWay && from.matches(c.To) && to.matches(c.From)
 }
 
-// gate blocks or passes the chunks of one direction of a link. The zero value is open.
+// gate blocks or passes the chunks of one direction of a link. It is open while no cut holds it closed. The zero value
+// is open.
 type gate struct {
 	mu sync.Mutex
 
+	// cuts is the number of cuts that hold the gate closed.
+	cuts int
+
 	// reopened is nil while the gate is open. The channel is closed when the gate opens again.
 	reopened chan struct{}
 }
 
-// set opens or closes the gate.
-func (g *gate) set(open bool) {
+// addCut closes the gate for one more cut.
+func (g *gate) addCut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts++
+	if g.reopened == nil {
+		g.reopened = make(chan struct{})
+	}
+}
+
+// removeCut ends one cut, if there is any.
+func (g *gate) removeCut() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case open && g.reopened != nil:
+	if g.cuts > 0 {
+		g.cuts--
+	}
+	g.openIfUncut()
+}
+
+// heal ends all cuts.
+func (g *gate) heal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts = 0
+	g.openIfUncut()
+}
+
+// openIfUncut opens the gate if no cut holds it closed. The caller holds mu.
+func (g *gate) openIfUncut() {
+	if g.cuts == 0 && g.reopened != nil {
 		close(g.reopened)
 		g.reopened = nil
-	case !open && g.reopened == nil:
-		g.reopened = make(chan struct{})
 	}
 }
 
--- a/egretlab/links/relay.go
+++ b/egretlab/links/relay.go
@@ -114,24 +114,24 @@
 	r.initLinks()
 	for _, l := range r.links {
 		if c.appliesTo(l.From, l.To) {
-			l.forwardGate.set(false)
+			l.forwardGate.addCut()
 		}
 		if c.appliesTo(l.To, l.From) {
-			l.reverseGate.set(false)
+			l.reverseGate.addCut()
 		}
 	}
 }
 
-// RemoveCut lets the traffic that the cut applies to pass again, as Heal does for all traffic. Traffic that another
-// cut applies to as well isn't held back any longer either.
+// RemoveCut ends a cut, or one direction of it. The traffic that it applies to passes again unless another cut applies to
+// it as well.
 func (r *Relay) RemoveCut(c Cut) {
 	r.initLinks()
 	for _, l := range r.links {
 		if c.appliesTo(l.From, l.To) {
-			l.forwardGate.set(true)
+			l.forwardGate.removeCut()
 		}
 		if c.appliesTo(l.To, l.From) {
-			l.reverseGate.set(true)
+			l.reverseGate.removeCut()
 		}
 	}
 }
@@ -169,8 +169,8 @@
 func (r *Relay) Heal() {
 	r.initLinks()
 	for _, l := range r.links {
-		l.forwardGate.set(true)
-		l.reverseGate.set(true)
+		l.forwardGate.heal()
+		l.reverseGate.heal()
 	}
 }
 
--- a/egretlab/links/relay_test.go
+++ b/egretlab/links/relay_test.go
@@ -286,6 +286,41 @@
 	}
 }
 
+// TestOverlappingCutsHoldOn ends one of two cuts that apply to the same traffic. The traffic must pass only when the
+// other one has ended too.
+func TestOverlappingCutsHoldOn(t *testing.T) {
+	n := newTestNetwork(t, time.Millisecond, 0)
+	c := n.dial(t)
+	exchange(t, c, "opens the connection")
+	first := Cut{
+		From: "a-1",
+		To:   "b-1",
+	}
+	second := Cut{
+		From: "a-1",
+		To:   "*",
+	}
+	n.relay.AddCut(first)
+	n.relay.AddCut(second)
+	n.relay.RemoveCut(first)
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read while the second cut lasts: %v", err)
+	}
+	n.relay.RemoveCut(second)
+	if err := c.SetDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("read after both cuts: %v", err)
+	}
+}
+
 // TestResetLosesWhatIsHeldUp checks that data held back by a cut is dropped if the sender resets the connection before
 // the cut ends. Relayed after the cut, it could still run a statement that its sender has given up.
 func TestResetLosesWhatIsHeldUp(t *testing.T) {
