egretctl: exit statuses and messages say what happened

- explain on a file that can't be read exits with 1, not 2, the status of invalid usage.
- edit exits with 0 after a successful apply whose draft can't be removed, and prints that the draft is left behind.
- diff and validate of a faulty file don't say that nothing was changed; apply still does.

--- a/egretctl/apply.go
+++ b/egretctl/apply.go
@@ -26,8 +26,9 @@
 		ArgsUsage: "FILE",
 		Flags: append(historyFlags(),
 			&cli.Uint64Flag{
-				Name:  "expect-revision",
-				Usage: "apply only if the tables have this `REVISION`, 0 if there are none; if not set, the one read when the command starts",
+				Name:        "expect-revision",
+				HideDefault: true,
+				Usage:       "apply only if the tables have this `REVISION`, 0 if there are none; if not set, the one read when the command starts",
 			},
 			&cli.StringFlag{
 				Name:  "edit-id",
@@ -55,6 +56,12 @@
 
 func apply(ctx context.Context, c *cli.Command, s *storeAccess) error {
 	proposed, err := readTablesArgument(c)
+	if faults, ok := errors.AsType[*faultsError](err); ok {
+		return &exitError{
+			status: exitFaults,
+			err:    errors.Errorf("%v, nothing was changed", faults),
+		}
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/egretctl/edit.go
+++ b/egretctl/edit.go
@@ -63,7 +63,10 @@
 	if err != nil {
 		return errors.Annotatef(err, "the edited tables are kept in %s", d.path)
 	}
-	return errors.Trace(os.Remove(d.path))
+	if err := os.Remove(d.path); err != nil {
+		fmt.Fprintf(c.Root().ErrWriter, "the draft is left behind: %v\n", err)
+	}
+	return nil
 }
 
 // readTablesWithTimeout reads the tables from the store within the timeout of --timeout, which doesn't apply to the
--- a/egretctl/explain.go
+++ b/egretctl/explain.go
@@ -68,7 +68,7 @@
 			}
 			lines, err := readLogs(c.Root().Reader, c.Args().Tail())
 			if err != nil {
-				return err
+				return commandError(err)
 			}
 			return explain(c.Root().Writer, lines, c.Args().First(), before, after)
 		},
--- a/egretctl/explain_test.go
+++ b/egretctl/explain_test.go
@@ -47,3 +47,12 @@
 		t.Errorf("exit status %d, want exitUsage", status)
 	}
 }
+
+func TestExplainOfAnUnreadableFile(t *testing.T) {
+	out := bytes.Buffer{}
+	missing := filepath.Join(t.TempDir(), "missing.log")
+	got := run(t.Context(), []string{"egretctl", "explain", "0013c5a3294e7b85", missing}, strings.NewReader(""), &out, &out)
+	if got != exitFailed {
+		t.Errorf("exit status %d, want %d\n%s", got, exitFailed, out.String())
+	}
+}
--- a/egretctl/main_test.go
+++ b/egretctl/main_test.go
@@ -226,6 +226,42 @@
 	t.Setenv("EDITOR", name)
 }
 
+// TestEditWithoutItsDraft applies an edit whose draft can't be removed afterwards. The tables were changed, so that the
+// command must not report a failure.
+func TestEditWithoutItsDraft(t *testing.T) {
+	t.Setenv("EGRETCTL_AUTHOR", "ann")
+	t.Setenv("TMPDIR", t.TempDir())
+	t.Setenv("VISUAL", "")
+	s := &fakeStore{}
+	c := newCommandRecorder(t, s)
+	c.run(t, exitOK, "apply", "testdata/tables.yaml")
+	setEditor(t, "sed -i 's/slots: 2/slots: 3/' $1")
+	s.beforeSwap = func() {
+		if err := os.RemoveAll(os.Getenv("TMPDIR")); err != nil {
+			t.Error(err)
+		}
+	}
+	c.run(t, exitOK, "edit")
+}
+
+// TestDiffOfAFaultyFile checks that a command that changes nothing in any case doesn't say so of a faulty file.
+func TestDiffOfAFaultyFile(t *testing.T) {
+	c := newCommandRecorder(t, &fakeStore{})
+	c.run(t, exitFaults, "diff", "testdata/faults.yaml")
+	if output := c.output.String(); strings.Contains(output, "nothing was changed") {
+		t.Errorf("output:\n%s", output)
+	}
+}
+
+// TestUnsetRevisionHasNoDefault checks that the help doesn't show a default for a flag that differs when it is not set.
+func TestUnsetRevisionHasNoDefault(t *testing.T) {
+	c := newCommandRecorder(t, &fakeStore{})
+	c.run(t, exitOK, "apply", "--help")
+	if output := c.output.String(); strings.Contains(output, "default: 0") {
+		t.Errorf("output:\n%s", output)
+	}
+}
+
 func TestStatus(t *testing.T) {
 	s := &fakeStore{
 		revision: 4,
--- a/egretctl/tables.go
+++ b/egretctl/tables.go
@@ -177,10 +177,23 @@
 	}
 	return &exitError{
 		status: exitFaults,
-		err:    errors.Errorf("%s found, nothing was changed", quantity(len(findings.Faults()), "fault")),
+		err: &faultsError{
+			count: len(findings.Faults()),
+		},
 	}
 }
 
+// faultsError is the error of a file of tables that has faults.
+type faultsError struct {
+	// count is above zero.
+	count int
+}
+
+// Error returns how many faults were found.
+func (e *faultsError) Error() string {
+	return quantity(e.count, "fault") + " found"
+}
+
 // readTablesFile reads and parses a file of tables, or standard input if the name is stdinName.
 func readTablesFile(c *cli.Command, name string) (*egret.Tables, codec.Findings, error) {
 	if name == stdinName {
