egretlane: a failing component ends the fleet's process

Cause: run waited for all components after one had failed, and the servers of peers, readiness and metrics don't end with the context, so that the process stayed, without the component. It closes them and returns the component's error now. The listeners are bound together before, so that a failure to bind leaves none open.

--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -102,53 +102,91 @@
 	return n
 }
 
+// listeners are the listeners of a node.
+type listeners struct {
+	peers, ready, callers net.Listener
+
+	// metrics is nil if the settings have no address for it.
+	metrics net.Listener
+}
+
 // run serves until the context ends, and then shuts down gracefully.
 func (n *node) run(ctx context.Context) error {
 	n.eventLog.Event("process-started").Str("incarnation", n.fleet.Self.Incarnation).Str("domain", n.settings.Domain).Msg("process started")
-	peers, err := n.bind(ctx, n.settings.Listen.Peers)
+	l, err := n.listen(ctx)
 	if err != nil {
+		l.close()
 		return err
 	}
-	ready, err := n.bind(ctx, n.settings.Listen.Readiness)
-	if err != nil {
-		return err
+	return n.serve(ctx, l)
+}
+
+// listen binds all addresses. After an error it returns the listeners that were bound before.
+func (n *node) listen(ctx context.Context) (listeners, error) {
+	l := listeners{}
+	for _, b := range []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+	}{
+		{listener: &l.peers, address: n.settings.Listen.Peers},
+		{listener: &l.ready, address: n.settings.Listen.Readiness},
+		{listener: &l.callers, address: n.settings.Listen.Callers},
+		{listener: &l.metrics, address: n.settings.Listen.Metrics},
+	} {
+		if b.listener == &l.metrics && !b.address.IsValid() {
+			continue
+		}
+		bound, err := n.bind(ctx, b.address)
+		if err != nil {
+			return l, err
+		}
+		*b.listener = bound
 	}
-	callers, err := n.bind(ctx, n.settings.Listen.Callers)
-	if err != nil {
-		return err
+	return l, nil
+}
+
+// close closes the listeners that are open.
+func (l listeners) close() {
+	for _, c := range []net.Listener{l.peers, l.ready, l.callers, l.metrics} {
+		if c != nil {
+			closeListener(c)
+		}
 	}
-	serving, stop := context.WithCancel(context.Background())
+}
+
+// serve serves until the context ends, and then shuts down gracefully. If a component fails before, the others end with
+// it, and serve returns its error.
+func (n *node) serve(ctx context.Context, l listeners) error {
+	components, stop := context.WithCancel(context.Background())
 	defer stop()
-	g, serving := errgroup.WithContext(serving)
+	g, serving := errgroup.WithContext(components)
 	server := link.Server{
 		Host: n,
 	}
 	rpc := server.NewGRPC()
-	g.Go(func() error { return rpc.Serve(peers) })
-	g.Go(func() error { return serveHTTP(ready, &platform.ReadinessHandler{IsReady: n.ready}) })
-	if n.settings.Listen.Metrics.IsValid() {
-		l, err := n.bind(ctx, n.settings.Listen.Metrics)
-		if err != nil {
-			return err
-		}
-		g.Go(func() error { return serveHTTP(l, n.metrics.handler()) })
+	g.Go(func() error { return rpc.Serve(l.peers) })
+	g.Go(func() error { return serveHTTP(l.ready, &platform.ReadinessHandler{IsReady: n.ready}) })
+	if l.metrics != nil {
+		g.Go(func() error { return serveHTTP(l.metrics, n.metrics.handler()) })
 	}
 	g.Go(func() error { return n.eventLog.Run(serving) })
 	g.Go(func() error { return n.fleet.Run(serving) })
 	g.Go(func() error { return n.cache.operatorWatch.Run(serving) })
 	g.Go(func() error { return n.cache.watchMembers(serving, func() bool { return len(n.fleet.Lanes()) > 0 }) })
-	g.Go(func() error { return n.front.Serve(serving, callers) })
+	g.Go(func() error { return n.front.Serve(serving, l.callers) })
 	g.Go(func() error { return n.watchIsolation(serving) })
 	select {
 	case <-ctx.Done():
-		n.shutDown(callers)
+		n.shutDown(l.callers)
 		stop()
 		rpc.Stop()
-		closeListener(ready)
+		l.close()
 		n.eventLog.Event("process-stopped").Msg("process stopped")
 		return nil
 	case <-serving.Done():
-		return g.Wait()
+		rpc.Stop()
+		l.close()
+		return context.Cause(serving)
 	}
 }
 
