config: a bad duration or address is reported with all other findings

Cause: a text that UnmarshalYAML refuses ends the decoding of the file, so that it hid all other findings, and an address came without key or line. These texts are checked before, reported with key and line, and taken out of the document; the rest is decoded and checked as before. TestUnparsableTextsAreReportedWithTheRest failed first ("not an ip:port" alone).

--- a/config/config.go
+++ b/config/config.go
@@ -1,7 +1,6 @@
 // Package config reads and validates the settings file of a proxy of service groups. The file is YAML with
-// kebab-case keys. All values of the wrong YAML type are reported together, each with its line. A text that is not a
-// valid duration or address is reported alone. If all values parse, all invalid settings are reported together, each
-// with its key:
+// kebab-case keys. All invalid settings are reported together: each with its key, or its line if the value has the wrong
+// YAML type, and texts that are no valid duration or address with both:
 //
 //	s, err := config.Load("/etc/egretlane/settings.yaml")
 package config
@@ -11,6 +10,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -117,17 +118,86 @@
 			Export: spans.ExportOff,
 		},
 	}
-	if err := yaml.Unmarshal(data, s); err != nil {
+	document := yaml.Node{}
+	if err := yaml.Unmarshal(data, &document); err != nil {
 		return nil, err
 	}
-	return s, stderrors.Join(s.validate()...)
+	errs, unparsable := takeUnparsable(&document)
+	if err := document.Decode(s); err != nil {
+		errs = append(errs, err)
+	}
+	return s, stderrors.Join(append(errs, s.validate(unparsable)...)...)
+}
+
+// takeUnparsable removes the settings whose text is no valid duration or address from the document. It returns an error
+// for each, and their keys.
+func takeUnparsable(document *yaml.Node) ([]error, map[string]bool) {
+	errs, unparsable := []error{}, map[string]bool{}
+	for _, s := range []struct {
+		key   string
+		value yaml.Unmarshaler
+	}{
+		{key: "listen.callers", value: &address{}},
+		{key: "listen.readiness", value: &address{}},
+		{key: "listen.peers", value: &address{}},
+		{key: "listen.metrics", value: &address{}},
+		{key: "platform.store", value: &address{}},
+		{key: "platform.promotion", value: &address{}},
+		{key: "shutdown-grace", value: new(Duration)},
+	} {
+		mapping, i := find(document, strings.Split(s.key, "."))
+		if mapping == nil || mapping.Content[i+1].Kind != yaml.ScalarNode || mapping.Content[i+1].Tag == "!!null" {
+			continue
+		}
+		if err := s.value.UnmarshalYAML(mapping.Content[i+1]); err != nil {
+			errs = append(errs, errors.Annotate(err, s.key))
+			unparsable[s.key] = true
+			mapping.Content = slices.Delete(mapping.Content, i, i+2)
+		}
+	}
+	return errs, unparsable
+}
+
+// find returns the mapping that has the last part of a path, and the index of that key in its content. It returns nil if
+// the document has no such key.
+func find(n *yaml.Node, path []string) (*yaml.Node, int) {
+	if n.Kind == yaml.DocumentNode && len(n.Content) > 0 {
+		n = n.Content[0]
+	}
+	if n.Kind != yaml.MappingNode {
+		return nil, 0
+	}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value != path[0] {
+			continue
+		}
+		if len(path) == 1 {
+			return n, i
+		}
+		return find(n.Content[i+1], path[1:])
+	}
+	return nil, 0
+}
+
+// address is the text of an IP address with a port. It may be empty.
+type address struct{}
+
+// UnmarshalYAML implements yaml.Unmarshaler. It only checks the text.
+func (*address) UnmarshalYAML(n *yaml.Node) error {
+	if n.Value == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(n.Value); err != nil {
+		return errors.Errorf("line %d: invalid address %q: expected an IP address and a port, such as 10.0.0.1:6400", n.Line, n.Value)
+	}
+	return nil
 }
 
-// validate returns all errors, each with the key of the invalid setting.
-func (s *Settings) validate() []error {
+// validate returns an error for each invalid setting, with its key. Those of the keys in reported are left out.
+func (s *Settings) validate(reported map[string]bool) []error {
 	errs := []error{}
 	check := func(ok bool, key string, format string, a ...any) {
-		if !ok {
+		if !ok && !reported[key] {
 			errs = append(errs, errors.Errorf("%s: %s", key, fmt.Sprintf(format, a...)))
 		}
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// TestUnparsableTextsAreReportedWithTheRest checks that a bad duration and a bad address are reported with key and line,
+// beside each other and beside all other invalid settings.
+func TestUnparsableTextsAreReportedWithTheRest(t *testing.T) {
+	text := strings.NewReplacer("node: front-1", "node: \"\"", "6s", "soon", "10.0.1.1:1", "nowhere", "memory-mb: 284", "memory-mb: much").Replace(validSettings)
+	_, err := Parse([]byte(text))
+	if err == nil {
+		t.Fatal("Parse = nil error, want one for each invalid setting")
+	}
+	for _, want := range []string{"node: must", "shutdown-grace: line 14: ", "platform.store: line 11: ", "line 13: cannot unmarshal"} {
+		if strings.Count(err.Error(), want) != 1 {
+			t.Errorf("%q is not reported once in:\n%v", want, err)
+		}
+	}
+	if strings.Contains(err.Error(), "platform.store: must be set") {
+		t.Errorf("a bad address is reported as missing, too:\n%v", err)
+	}
+}
+
 // Parse must return an error for text that is not valid YAML or has values of the wrong type.
 func TestUnparsableSettings(t *testing.T) {
 	for _, text := range []string{"node: [", strings.Replace(validSettings, "6s", "soon", 1), strings.Replace(validSettings, "10.0.1.1:1", "nowhere", 1)} {
