--- a/egretctl/main_test.go
+++ b/egretctl/main_test.go
@@ -288,6 +288,16 @@
 	c.compare(t, "status.golden")
 }
 
+// TestProxyWithAnotherPrimaryIsBehind checks that a proxy that knows another primary of the same term is listed.
+func TestProxyWithAnotherPrimaryIsBehind(t *testing.T) {
+	other := sampleStatus("proxy-2", 3)
+	other.Facts[0].Primary = "member-2"
+	o := newOverview([]statusResult{{reply: sampleStatus("proxy-1", 3)}, {reply: other}})
+	if behind := o.Groups[0].Behind; len(behind) != 1 || behind[0] != "proxy-2" {
+		t.Errorf("behind: %v, want proxy-2", behind)
+	}
+}
+
 func serveStatus(t *testing.T, r *peerpb.StatusReply) string {
 	t.Helper()
 	return serve(t, func(g *grpc.Server) {
--- a/egretctl/overview.go
+++ b/egretctl/overview.go
@@ -59,7 +59,7 @@
 	Term    uint64 `json:"term"`
 	Primary string `json:"primary"`
 
-	// Behind lists the IDs of the proxies that don't know a primary of the group in this term, or none.
+	// Behind lists the IDs of the proxies that don't know this primary of the group in this term, or none.
 	Behind []string `json:"behind,omitempty"`
 }
 
@@ -136,7 +136,7 @@
 	}
 }
 
-// proxiesBehind returns the IDs of the proxies that returned a status without a primary of the group in this term.
+// proxiesBehind returns the IDs of the proxies that returned a status without this primary of the group in this term.
 func proxiesBehind(results []statusResult, g groupRow) []string {
 	ids := []string(nil)
 	for _, r := range results {
@@ -144,7 +144,7 @@
 			continue
 		}
 		known := slices.ContainsFunc(r.reply.GetFacts(), func(f *peerpb.Fact) bool {
-			return f.GetGroup() == g.Group && f.GetTerm() == g.Term
+			return f.GetGroup() == g.Group && f.GetTerm() == g.Term && f.GetPrimary() == g.Primary
 		})
 		if !known {
 			ids = append(ids, r.reply.GetSelf().GetId())
