peer: the end of a proxy that was leaving is no suspicion

Cause: Suspect turns a leaving proxy that doesn't answer into a dead one, and the caller counted and logged that as a suspicion. It is logged as the end of a leaving proxy now. TestEndOfALeavingProxyIsNoSuspicion failed first.

--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
 	"egretlane.example/egret"
 	"egretlane.example/egret/place"
 )
@@ -36,6 +38,33 @@
 	}
 }
 
+// TestEndOfALeavingProxyIsNoSuspicion kills a proxy that all know to be leaving.
+func TestEndOfALeavingProxyIsNoSuspicion(t *testing.T) {
+	f := newFleet(t, 5)
+	leaving := f.proxies[3]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	leaving.Leave(ctx)
+	id := leaving.Node.ID
+	f.waitFor(t, "all know that the proxy leaves", func() bool {
+		return f.allCountLive(4)
+	})
+	leaving.kill()
+	f.waitFor(t, "the proxy is dead for all", func() bool {
+		for _, p := range f.running() {
+			if n, _ := p.node(id); n.State != egret.NodeDead {
+				return false
+			}
+		}
+		return true
+	})
+	for _, p := range f.running() {
+		if n := testutil.ToFloat64(p.metrics.suspicions); n != 0 {
+			t.Errorf("%s: %v suspicions, want none", p.Node.ID, n)
+		}
+	}
+}
+
 // A proxy that is unreachable for a while is dead for the others. When it is reachable again, it refutes that with
 // a higher incarnation and is live again.
 func TestPausedProxyRefutes(t *testing.T) {
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -44,8 +44,12 @@
 	if !m.table.Suspect(n, refused, time.Now()) {
 		return
 	}
-	m.metrics.suspicions.Inc()
-	m.Log.Warn().Str("node", n.ID).Bool("refused", refused).Msg("proxy does not answer; suspecting it")
+	if now, _ := m.table.Node(n.ID); now.State == egret.NodeDead {
+		m.Log.Info().Str("node", n.ID).Msg("leaving proxy has ended")
+	} else {
+		m.metrics.suspicions.Inc()
+		m.Log.Warn().Str("node", n.ID).Bool("refused", refused).Msg("proxy does not answer; suspecting it")
+	}
 	m.applyChange(roster.Change{
 		Changed: true,
 		Urgent:  true,
