egretlane: the help of fleet lists only its own flags

The flags of the PostgreSQL proxy were listed as global options of the fleet command, which ignores them. TestFleetHelpListsItsOwnFlags failed first.

--- a/egretlane/main.go
+++ b/egretlane/main.go
@@ -13,8 +13,15 @@
 )
 
 func main() {
+	if err := rootCommand().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "egretlane:", err)
+		os.Exit(1)
+	}
+}
+
+func rootCommand() *cli.Command {
 	s := &flagValues{}
-	c := &cli.Command{
+	return &cli.Command{
 		Name:                  "egretlane",
 		Usage:                 "database proxy with session consistency",
 		Flags:                 s.flags(),
@@ -24,10 +31,6 @@
 			return serve(ctx, s)
 		},
 	}
-	if err := c.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "egretlane:", err)
-		os.Exit(1)
-	}
 }
 
 // serve runs the proxy until a signal stops it.
--- a/egretlane/settings.go
+++ b/egretlane/settings.go
@@ -145,12 +145,14 @@
 		stringFlag("peer-address", "IP:port at which other proxies connect to this one; defaults to --peer-listen", "", &s.peerAddress),
 		stringFlag("operator-listen", "IP:port to listen on for operators (HTTP): /live, /ready, /metrics, /status", "", &s.operatorListen),
 		&cli.StringSliceFlag{
+			Local:       true,
 			Name:        "seed-peer",
 			Usage:       "IP:port of another proxy to join through; repeatable",
 			Sources:     envSource("seed-peer"),
 			Destination: &s.seedPeers,
 		},
 		&cli.StringSliceFlag{
+			Local:       true,
 			Name:        "address-map",
 			Usage:       "`FROM=TO`, each an IP:port: connect to TO instead of FROM; repeatable",
 			Sources:     envSource("address-map"),
@@ -207,6 +209,7 @@
 
 func stringFlag(name, usage, value string, destination *string) cli.Flag {
 	return &cli.StringFlag{
+		Local:       true,
 		Name:        name,
 		Usage:       usage,
 		Value:       value,
@@ -217,6 +220,7 @@
 
 func boolFlag(name, usage string, destination *bool) cli.Flag {
 	return &cli.BoolFlag{
+		Local:       true,
 		Name:        name,
 		Usage:       usage,
 		Sources:     envSource(name),
@@ -226,6 +230,7 @@
 
 func intFlag(name, usage string, value int, destination *int) cli.Flag {
 	return &cli.IntFlag{
+		Local:       true,
 		Name:        name,
 		Usage:       usage,
 		Value:       value,
@@ -236,6 +241,7 @@
 
 func floatFlag(name, usage string, value float64, destination *float64) cli.Flag {
 	return &cli.FloatFlag{
+		Local:       true,
 		Name:        name,
 		Usage:       usage,
 		Value:       value,
@@ -246,6 +252,7 @@
 
 func durationFlag(name, usage string, value time.Duration, destination *time.Duration) cli.Flag {
 	return &cli.DurationFlag{
+		Local:       true,
 		Name:        name,
 		Usage:       usage,
 		Value:       value,
--- a/egretlane/settings_test.go
+++ b/egretlane/settings_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"os"
 	"strings"
 	"testing"
@@ -55,3 +56,16 @@
 		}
 	}
 }
+
+// TestFleetHelpListsItsOwnFlags checks that the help of the fleet command has no flags of the PostgreSQL proxy.
+func TestFleetHelpListsItsOwnFlags(t *testing.T) {
+	out := bytes.Buffer{}
+	c := rootCommand()
+	c.Writer = &out
+	if err := c.Run(t.Context(), []string{"egretlane", "fleet", "--help"}); err != nil {
+		t.Fatal(err)
+	}
+	if help := out.String(); !strings.Contains(help, "--settings") || strings.Contains(help, "--caller-listen") {
+		t.Errorf("help:\n%s", help)
+	}
+}
