egretlane, fleet: a holder without the store learns of leaving members from other holders

Cause, a part of the chain behind a leaving primary that is used beyond its time: a holder that the store refuses keeps its service by the voters' promises for up to 9 s, but its watch of the members had no other source, so that it learned only after that which member leaves. Other holders watch the members too; the watch asks one of them while the store fails, at the rate of its calls to the store. Nothing is asked while the store answers.

Ruled out as the only cause: the switch-over itself, which needs no store, as the new primary goes to the voters. Not done: a store that is silent rather than refusing is noticed after 4 s, and the phases of a switch-over (3 s, 0.7 s, 1 s) don't know how much of the member's time is left; with both, the bound isn't held by construction yet.

TestLeavingMemberIsKnownWithoutTheStore shows the case without a network.

--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -47,8 +47,12 @@
 // Changes returns the changes of the store after the revision that this process has seen. It reports false if the
 // process does not know.
 func (n *node) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
-	if prefix == platform.OperatorPrefix {
+	switch prefix {
+	case platform.OperatorPrefix:
 		return n.cache.operatorWatch.ChangesAfter(after)
+	case platform.MembersPrefix:
+		return n.cache.memberWatch.ChangesAfter(after)
+	default:
+		return n.fleet.Changes(prefix, after)
 	}
-	return n.fleet.Changes(prefix, after)
 }
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -89,6 +89,7 @@
 	n.fleet.Init()
 	n.cache.operatorWatch.ChangesFromPeer = n.fleet.ChangesFromPeer
 	n.cache.operatorWatch.WatchesStore = n.fleet.WatchesStore
+	n.cache.memberWatch.ChangesFromPeer = n.fleet.ChangesFromHolder
 	n.cache.onConfiguration = n.applyConfiguration
 	n.cache.onMembersChanged = n.updateMembers
 	n.front = &front.Server{
--- a/egretlane/store_cache.go
+++ b/egretlane/store_cache.go
@@ -31,6 +31,9 @@
 	// operatorWatch watches the keys that the operator writes.
 	operatorWatch *watch.Watcher
 
+	// memberWatch watches the members while this process needs them.
+	memberWatch *watch.Watcher
+
 	// wake wakes watchMembers.
 	wake chan struct{}
 
@@ -62,6 +65,13 @@
 		StartFromPeer: true,
 		EventLog:      eventLog,
 	}
+	c.memberWatch = &watch.Watcher{
+		Keys:     keys,
+		Prefix:   platform.MembersPrefix,
+		Reset:    c.resetMembers,
+		Change:   c.changeMember,
+		EventLog: eventLog,
+	}
 	return c
 }
 
@@ -98,13 +108,6 @@
 
 // watchMembers watches the members while needed reports true.
 func (c *storeCache) watchMembers(ctx context.Context, needed func() bool) error {
-	w := watch.Watcher{
-		Keys:     c.keys,
-		Prefix:   platform.MembersPrefix,
-		Reset:    c.resetMembers,
-		Change:   c.changeMember,
-		EventLog: c.eventLog,
-	}
 	c.loadMembers(ctx)
 	for ctx.Err() == nil {
 		if !needed() {
@@ -121,7 +124,7 @@
 			}
 			cancel()
 		}()
-		if err := w.Run(run); err != nil {
+		if err := c.memberWatch.Run(run); err != nil {
 			cancel()
 			return err
 		}
--- a/egretlane/store_cache_test.go
+++ b/egretlane/store_cache_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
+
+	"github.com/juju/errors"
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/platform"
@@ -50,6 +54,57 @@
 	}
 }
 
+// cutKeys is a store that lists the members once and refuses all calls after that.
+type cutKeys struct {
+	egret.Keyspace
+	members []egret.Item
+}
+
+func (k *cutKeys) List(context.Context, string) ([]egret.Item, uint64, error) {
+	return k.members, 5, nil
+}
+
+func (k *cutKeys) Watch(context.Context, string, uint64, time.Duration) ([]egret.Item, uint64, error) {
+	return nil, 0, errors.New("refused")
+}
+
+// TestLeavingMemberIsKnownWithoutTheStore lets the store refuse a holder's calls while a member reports that it leaves.
+// The holder keeps its service by the promises of voters, so it has to learn of the member from another process.
+func TestLeavingMemberIsKnownWithoutTheStore(t *testing.T) {
+	entry := `{"service":"s","address":"10.0.0.1:80","capacity":2,"state":"%s","db_role":"primary","zone":"z"}`
+	member := func(state string, revision uint64) egret.Item {
+		return egret.Item{
+			Key:      platform.MembersPrefix + "a",
+			Data:     fmt.Appendf(nil, entry, state),
+			Revision: revision,
+		}
+	}
+	c := newStoreCache(&cutKeys{members: []egret.Item{member("ready", 3)}}, nil)
+	c.memberWatch.ChangesFromPeer = func(_ context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+		if prefix != platform.MembersPrefix || after < 5 {
+			t.Errorf("asked for changes of %q after %d", prefix, after)
+		}
+		return []egret.Item{member("draining", 6)}, 6, true
+	}
+	leaving := make(chan bool, 1)
+	c.onMembersChanged = func(_ string, members []egret.Backend) {
+		if len(members) == 1 && members[0].Draining {
+			select {
+			case leaving <- true:
+			default:
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.watchMembers(ctx, func() bool { return true }) }()
+	select {
+	case <-leaving:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the holder did not learn within 2 s that the member leaves")
+	}
+}
+
 // TestMembersOfManyServices checks that a member is found under the service that its newest entry names, and
 // that the lookup of a primary's domain, which each process does for each service several times a second,
 // allocates nothing, however many members there are.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +64,23 @@
 	return f.Pool.Changes(ctx, others[rand.IntN(len(others))].Address, prefix, after)
 }
 
+// ChangesFromHolder is like ChangesFromPeer, but asks another process that holds a service. Holders watch the members,
+// which observers don't.
+func (f *Fleet) ChangesFromHolder(ctx context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+	holders := map[netip.AddrPort]bool{}
+	for _, l := range f.allLeases() {
+		s, known := l.LatestRecord()
+		if known && s.Revision != 0 && !s.Record.Released && s.Record.Node != f.Self.ID {
+			holders[s.Record.Address] = true
+		}
+	}
+	if len(holders) == 0 {
+		return nil, 0, false
+	}
+	others := slices.Collect(maps.Keys(holders))
+	return f.Pool.Changes(ctx, others[rand.IntN(len(others))], prefix, after)
+}
+
 // Changes returns the changes of the fleet's keys that this process has seen after the revision, and the
 // revision to go on from. It reports false if it can't tell them, or if the prefix is another one.
 func (f *Fleet) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
