entry: an attempt that has not run is retried also behind one of unknown outcome

Cause: found by reading the diff. run turned a failure "not run" behind an earlier one of unknown outcome into "unknown" before it asked whether it may be tried again. A SELECT that writes, begun as a read and then refused once as a write, was given up, though that attempt had not run. Change: the attempt's own failure decides on the retry, and requestFailure combines the two only for the answer; run does one thing again. Result: TestWriteAfterABegunReadIsRetried failed first (08007), the package's tests pass. Ruled out: other readers of the failure, as it goes to the caller only.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,29 +12,23 @@
 // floorLookupTimeout bounds the lookup of a group's confirmed position in one attempt.
 const floorLookupTimeout = time.Second
 
-// run attempts the request until it is answered, may not be retried, or its time budget ends. If a member may have begun
-// it in an earlier attempt, its outcome is unknown although the last attempt has not run.
+// run attempts the request until it is answered, may not be retried, or its time budget ends.
 func (q *request) run(ctx context.Context) (egret.BatchResult, *egret.Failure) {
-	var begun *egret.Failure
+	// lastUnknown is the last failure of unknown outcome, or nil.
+	var lastUnknown *egret.Failure
 	for {
 		result, f := q.attempt(ctx)
 		if f == nil {
 			return result, nil
 		}
 		if f.Outcome == egret.OutcomeUnknown {
-			begun = f
-		}
-		if begun != nil && f.Outcome == egret.OutcomeNotRun {
-			unknown := *f
-			unknown.Outcome, unknown.Code = egret.OutcomeUnknown, egret.CodeUnknown
-			unknown.Message += "; before that: " + begun.Message
-			f = &unknown
+			lastUnknown = f
 		}
 		if f.Reason == egret.ReasonReadOnly && !q.readOnlyInferred {
 			return egret.BatchResult{}, readOnlyFailure()
 		}
 		if !q.mayRetry(f) {
-			return egret.BatchResult{}, f
+			return egret.BatchResult{}, requestFailure(f, lastUnknown)
 		}
 		if q.updateAfterFailure(f) {
 			q.session.handler.Metrics.Retries.WithLabelValues(f.Reason.Label()).Inc()
@@ -42,13 +36,25 @@
 		}
 		delay, ok := q.plan.Next(time.Now(), randomFraction(), isUnthrottled(f))
 		if !ok || q.session.isCanceled() {
-			return egret.BatchResult{}, f
+			return egret.BatchResult{}, requestFailure(f, lastUnknown)
 		}
 		q.session.handler.Metrics.Retries.WithLabelValues(f.Reason.Label()).Inc()
 		sleep(ctx, delay)
 	}
 }
 
+// requestFailure returns the failure of a request whose last attempt failed with last. If an earlier attempt had an unknown
+// outcome, the request has one too, although the last attempt has not run.
+func requestFailure(last, lastUnknown *egret.Failure) *egret.Failure {
+	if lastUnknown == nil || last.Outcome != egret.OutcomeNotRun {
+		return last
+	}
+	f := *last
+	f.Outcome, f.Code = egret.OutcomeUnknown, egret.CodeUnknown
+	f.Message += "; before that: " + lastUnknown.Message
+	return &f
+}
+
 // attempt runs the request once, on one member.
 func (q *request) attempt(ctx context.Context) (egret.BatchResult, *egret.Failure) {
 	if f := q.lookUpFloor(ctx); f != nil {
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// TestWriteAfterABegunReadIsRetried lets a member begin a request as a read that turns out to write, and then refuse it
+// once as a write. The refused attempt has not run, so it must be tried again.
+func TestWriteAfterABegunReadIsRetried(t *testing.T) {
+	tp := startProxy(t, func(n int, _ egret.TransactionOptions) (egret.BatchResult, error) {
+		switch n {
+		case 1:
+			return failed(egret.OutcomeUnknown, egret.ReasonMemberUnreachable, egret.CodeUnknown)
+		case 2:
+			return failed(egret.OutcomeNotRun, egret.ReasonReadOnly, egret.CodeNotRun)
+		case 3:
+			return failed(egret.OutcomeNotRun, egret.ReasonQueue, egret.CodeNotRun)
+		default:
+			return completed(egret.TxIdle, 1)
+		}
+	})
+	if err := exec(tp.connect(t, ""), "SELECT book('a')"); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestIdempotentWriteWithUnknownOutcomeIsRepeated(t *testing.T) {
 	tp := startProxy(t, func(n int, _ egret.TransactionOptions) (egret.BatchResult, error) {
 		if n == 1 {
