config: names that say what is checked and removed

Cause: a type without state stood for a check, and find and takeUnparsable needed their callers to be understood. Change: checkAddress, findKey and removeUnparsable, with the reason why the texts are removed. Result: no change of behaviour; the package's tests pass.

--- a/config/config.go
+++ b/config/config.go
@@ -122,34 +122,34 @@
 	if err := yaml.Unmarshal(data, &document); err != nil {
 		return nil, err
 	}
-	errs, unparsable := takeUnparsable(&document)
+	errs, unparsable := removeUnparsable(&document)
 	if err := document.Decode(s); err != nil {
 		errs = append(errs, err)
 	}
 	return s, stderrors.Join(append(errs, s.validate(unparsable)...)...)
 }
 
-// takeUnparsable removes the settings whose text is no valid duration or address from the document. It returns an error
-// for each, and their keys.
-func takeUnparsable(document *yaml.Node) ([]error, map[string]bool) {
+// removeUnparsable removes the settings whose text is no valid duration or address from the document, since the decoder
+// stops at the first of them. It returns an error for each, and their keys.
+func removeUnparsable(document *yaml.Node) ([]error, map[string]bool) {
 	errs, unparsable := []error{}, map[string]bool{}
 	for _, s := range []struct {
 		key   string
-		value yaml.Unmarshaler
+		check func(n *yaml.Node) error
 	}{
-		{key: "listen.callers", value: &address{}},
-		{key: "listen.readiness", value: &address{}},
-		{key: "listen.peers", value: &address{}},
-		{key: "listen.metrics", value: &address{}},
-		{key: "platform.store", value: &address{}},
-		{key: "platform.promotion", value: &address{}},
-		{key: "shutdown-grace", value: new(Duration)},
+		{key: "listen.callers", check: checkAddress},
+		{key: "listen.readiness", check: checkAddress},
+		{key: "listen.peers", check: checkAddress},
+		{key: "listen.metrics", check: checkAddress},
+		{key: "platform.store", check: checkAddress},
+		{key: "platform.promotion", check: checkAddress},
+		{key: "shutdown-grace", check: new(Duration).UnmarshalYAML},
 	} {
-		mapping, i := find(document, strings.Split(s.key, "."))
+		mapping, i := findKey(document, strings.Split(s.key, "."))
 		if mapping == nil || mapping.Content[i+1].Kind != yaml.ScalarNode || mapping.Content[i+1].Tag == "!!null" {
 			continue
 		}
-		if err := s.value.UnmarshalYAML(mapping.Content[i+1]); err != nil {
+		if err := s.check(mapping.Content[i+1]); err != nil {
 			errs = append(errs, errors.Annotate(err, s.key))
 			unparsable[s.key] = true
 			mapping.Content = slices.Delete(mapping.Content, i, i+2)
@@ -158,9 +158,9 @@
 	return errs, unparsable
 }
 
-// find returns the mapping that has the last part of a path, and the index of that key in its content. It returns nil if
+// findKey returns the mapping that has the last part of a path, and the index of that key in its content. It returns nil if
 // the document has no such key.
-func find(n *yaml.Node, path []string) (*yaml.Node, int) {
+func findKey(n *yaml.Node, path []string) (*yaml.Node, int) {
 	if n.Kind == yaml.DocumentNode && len(n.Content) > 0 {
 		n = n.Content[0]
 	}
@@ -174,16 +174,13 @@
 		if len(path) == 1 {
 			return n, i
 		}
-		return find(n.Content[i+1], path[1:])
+		return findKey(n.Content[i+1], path[1:])
 	}
 	return nil, 0
 }
 
-// address is the text of an IP address with a port. It may be empty.
-type address struct{}
-
-// UnmarshalYAML implements yaml.Unmarshaler. It only checks the text.
-func (*address) UnmarshalYAML(n *yaml.Node) error {
+// checkAddress returns an error unless the text is empty or an IP address with a port.
+func checkAddress(n *yaml.Node) error {
 	if n.Value == "" {
 		return nil
 	}
