egretlane: the copies of configuration and members are a package of their own

Change: storeCache is egretlane/mirror.Mirror, with its fields set before Init and a package comment with an example; its tests moved along unchanged but for names. Ruled out: a package of the root module, as it decodes by the adapter.

--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -49,9 +49,9 @@
 func (n *node) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
 	switch prefix {
 	case platform.OperatorPrefix:
-		return n.cache.operatorWatch.ChangesAfter(after)
+		return n.mirror.Operator.ChangesAfter(after)
 	case platform.MembersPrefix:
-		return n.cache.memberWatch.ChangesAfter(after)
+		return n.mirror.Members.ChangesAfter(after)
 	default:
 		return n.fleet.Changes(prefix, after)
 	}
--- a/egretlane/store_cache_test.go
+++ b/egretlane/mirror/mirror_test.go
@@ -1,4 +1,4 @@
-package main
+package mirror
 
 import (
 	"context"
@@ -12,12 +12,20 @@
 	"egretlane.example/egret/platform"
 )
 
+func newMirror(keys egret.Keyspace) *Mirror {
+	c := &Mirror{
+		Keys: keys,
+	}
+	c.Init()
+	return c
+}
+
 // TestConfigurationNeverFallsBack checks that an older configuration never replaces a newer one. Configurations can
 // arrive out of order, as they come both from the watch and from another proxy.
 func TestConfigurationNeverFallsBack(t *testing.T) {
-	c := newStoreCache(nil, nil)
+	c := newMirror(nil)
 	versions := []uint64{}
-	c.onConfiguration = func(tables *egret.Tables) { versions = append(versions, tables.Revision) }
+	c.OnConfiguration = func(tables *egret.Tables) { versions = append(versions, tables.Revision) }
 	for _, version := range []int{3, 2, 7, 7, 5, 9} {
 		c.handleOperatorKey(egret.Item{
 			Key:      platform.ConfigKey,
@@ -31,25 +39,25 @@
 	c.handleOperatorKey(egret.Item{Key: platform.ConfigKey, Data: []byte("{"), Revision: 2})
 	c.handleOperatorKey(egret.Item{Key: platform.ConfigKey, Removed: true, Revision: 3})
 	c.handleOperatorKey(egret.Item{Key: platform.OperatorPrefix + "other", Data: []byte(`{"version":99}`), Revision: 4})
-	if current := c.tables.Load(); current.Revision != 9 {
+	if current := c.Tables(); current.Revision != 9 {
 		t.Errorf("current revision %d, want 9", current.Revision)
 	}
 }
 
 // TestMemberWithUndecodableEntryIsRemoved checks that a member whose entry becomes undecodable is removed.
 func TestMemberWithUndecodableEntryIsRemoved(t *testing.T) {
-	c := newStoreCache(nil, nil)
-	c.onMembersChanged = func(string, []egret.Backend) {}
+	c := newMirror(nil)
+	c.OnMembersChanged = func(string, []egret.Backend) {}
 	entry := `{"service":"s","address":"10.0.0.1:80","capacity":2,"state":"ready","db_role":"primary","zone":"z"}`
 	c.resetMembers([]egret.Item{
 		{Key: "servers/a", Data: []byte(entry), Revision: 1},
 		{Key: "servers/b", Data: []byte(entry), Revision: 2},
 	})
 	c.changeMember(egret.Item{Key: "servers/a", Data: []byte("\x00"), Revision: 3})
-	if members := c.membersOf("s"); len(members) != 1 || members[0].ID != "b" {
+	if members := c.MembersOf("s"); len(members) != 1 || members[0].ID != "b" {
 		t.Errorf("members %v, want only b", members)
 	}
-	if domain := c.primaryDomain("s"); domain != "z" {
+	if domain := c.PrimaryDomain("s"); domain != "z" {
 		t.Errorf("primary domain %q, want \"z\"", domain)
 	}
 }
@@ -79,15 +87,15 @@
 			Revision: revision,
 		}
 	}
-	c := newStoreCache(&cutKeys{members: []egret.Item{member("ready", 3)}}, nil)
-	c.memberWatch.ChangesFromPeer = func(_ context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+	c := newMirror(&cutKeys{members: []egret.Item{member("ready", 3)}})
+	c.Members.ChangesFromPeer = func(_ context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
 		if prefix != platform.MembersPrefix || after < 5 {
 			t.Errorf("asked for changes of %q after %d", prefix, after)
 		}
 		return []egret.Item{member("draining", 6)}, 6, true
 	}
 	leaving := make(chan bool, 1)
-	c.onMembersChanged = func(_ string, members []egret.Backend) {
+	c.OnMembersChanged = func(_ string, members []egret.Backend) {
 		if len(members) == 1 && members[0].Draining {
 			select {
 			case leaving <- true:
@@ -97,7 +105,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go func() { _ = c.watchMembers(ctx, func() bool { return true }) }()
+	go func() { _ = c.WatchMembers(ctx, func() bool { return true }) }()
 	select {
 	case <-leaving:
 	case <-time.After(2 * time.Second):
@@ -109,8 +117,8 @@
 // that the lookup of a primary's domain, which each process does for each service several times a second,
 // allocates nothing, however many members there are.
 func TestMembersOfManyServices(t *testing.T) {
-	c := newStoreCache(nil, nil)
-	c.onMembersChanged = func(string, []egret.Backend) {}
+	c := newMirror(nil)
+	c.OnMembersChanged = func(string, []egret.Backend) {}
 	entry := `{"service":"s%d","address":"10.0.0.1:80","capacity":2,"state":"ready","db_role":"primary","zone":"z"}`
 	items := []egret.Item{}
 	for i := range 600 {
@@ -121,18 +129,18 @@
 		})
 	}
 	c.resetMembers(items)
-	if n := len(c.membersOf("s7")); n != 3 {
+	if n := len(c.MembersOf("s7")); n != 3 {
 		t.Errorf("%d members of s7, want 3", n)
 	}
-	if allocations := testing.AllocsPerRun(20, func() { c.primaryDomain("s7") }); allocations != 0 {
+	if allocations := testing.AllocsPerRun(20, func() { c.PrimaryDomain("s7") }); allocations != 0 {
 		t.Errorf("%.0f allocations for the lookup of a primary's domain, want 0", allocations)
 	}
 	c.changeMember(egret.Item{Key: "servers/m7", Data: []byte(fmt.Sprintf(entry, 8)), Revision: 1000})
-	if a, b := len(c.membersOf("s7")), len(c.membersOf("s8")); a != 2 || b != 4 {
+	if a, b := len(c.MembersOf("s7")), len(c.MembersOf("s8")); a != 2 || b != 4 {
 		t.Errorf("%d members of s7 and %d of s8 after one moved from s7 to s8, want 2 and 4", a, b)
 	}
 	c.changeMember(egret.Item{Key: "servers/m7", Removed: true, Revision: 1001})
-	if n := len(c.membersOf("s8")); n != 3 {
+	if n := len(c.MembersOf("s8")); n != 3 {
 		t.Errorf("%d members of s8 after one was removed, want 3", n)
 	}
 }
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -13,6 +13,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/config"
+	"egretlane.example/egret/egretlane/mirror"
 	"egretlane.example/egret/evlog"
 	"egretlane.example/egret/fleet"
 	"egretlane.example/egret/front"
@@ -42,7 +43,7 @@
 	store    *platform.Store
 	promoter *platform.Promoter
 	dialer   platform.Dialer
-	cache    *storeCache
+	mirror   *mirror.Mirror
 	pool     *link.Pool
 	fleet    *fleet.Fleet
 	front    *front.Server
@@ -70,7 +71,13 @@
 		Address: s.Platform.Promotion,
 	}
 	n.promoter.Init()
-	n.cache = newStoreCache(n.store, eventLog)
+	n.mirror = &mirror.Mirror{
+		Keys:             n.store,
+		OnConfiguration:  n.applyConfiguration,
+		OnMembersChanged: n.updateMembers,
+		EventLog:         eventLog,
+	}
+	n.mirror.Init()
 	n.fleet = &fleet.Fleet{
 		Keys: n.store,
 		Self: fleet.Node{
@@ -87,13 +94,11 @@
 		EventLog:        eventLog,
 	}
 	n.fleet.Init()
-	n.cache.operatorWatch.ChangesFromPeer = n.fleet.ChangesFromPeer
-	n.cache.operatorWatch.WatchesStore = n.fleet.WatchesStore
-	n.cache.memberWatch.ChangesFromPeer = n.fleet.ChangesFromHolder
-	n.cache.onConfiguration = n.applyConfiguration
-	n.cache.onMembersChanged = n.updateMembers
+	n.mirror.Operator.ChangesFromPeer = n.fleet.ChangesFromPeer
+	n.mirror.Operator.WatchesStore = n.fleet.WatchesStore
+	n.mirror.Members.ChangesFromPeer = n.fleet.ChangesFromHolder
 	n.front = &front.Server{
-		Tables:      n.cache.tables.Load,
+		Tables:      n.mirror.Tables,
 		Codec:       func(c net.Conn) egret.CallerConn { return platform.NewCallerConn(c) },
 		NewStream:   n.fleet.CallerStream,
 		MaxSessions: max(0, s.Limits.Descriptors-reservedDescriptors),
@@ -172,8 +177,8 @@
 	}
 	g.Go(func() error { return n.eventLog.Run(serving) })
 	g.Go(func() error { return n.fleet.Run(serving) })
-	g.Go(func() error { return n.cache.operatorWatch.Run(serving) })
-	g.Go(func() error { return n.cache.watchMembers(serving, func() bool { return len(n.fleet.Lanes()) > 0 }) })
+	g.Go(func() error { return n.mirror.Operator.Run(serving) })
+	g.Go(func() error { return n.mirror.WatchMembers(serving, func() bool { return len(n.fleet.Lanes()) > 0 }) })
 	g.Go(func() error { return n.front.Serve(serving, l.callers) })
 	g.Go(func() error { return n.watchIsolation(serving) })
 	select {
@@ -218,7 +223,7 @@
 
 // ready reports whether the process accepts callers.
 func (n *node) ready() bool {
-	return !n.shuttingDown.Load() && !n.isolated.Load() && n.cache.tables.Load() != nil
+	return !n.shuttingDown.Load() && !n.isolated.Load() && n.mirror.Tables() != nil
 }
 
 // applyConfiguration passes a newer configuration to the fleet and to the lanes.
@@ -255,12 +260,12 @@
 		Metrics:  n.metrics,
 	}
 	l.Init()
-	if p := n.cache.tables.Load().Pool(c.Service); p != nil {
+	if p := n.mirror.Tables().Pool(c.Service); p != nil {
 		l.Configure(p)
 	}
 	go func() {
-		n.cache.wakeMemberWatch()
-		l.SetMembers(n.cache.membersOf(c.Service))
+		n.mirror.WakeMembers()
+		l.SetMembers(n.mirror.MembersOf(c.Service))
 		// Run returns when this process no longer holds the service. It returns no error.
 		_ = l.Run(context.Background())
 	}()
@@ -269,6 +274,6 @@
 
 // primaryLocation returns the failure domain and the region of a service's primary.
 func (n *node) primaryLocation(service string) (domain, region string) {
-	domain = n.cache.primaryDomain(service)
+	domain = n.mirror.PrimaryDomain(service)
 	return domain, n.settings.Regions[domain]
 }
