group: a member's ID is read without a race

Cause: statements read the ID in the member's registration without the lane's lock, while SetMembers replaces the registration. Change: the ID is a field of its own that never changes; all reads use it. Ruled out: other fields of the registration, which are read under the lock only.

--- a/group/conn.go
+++ b/group/conn.go
@@ -103,7 +103,7 @@
 	switch {
 	case need == sched.NeedMember:
 		return true
-	case need == sched.NeedPrimary && m.backend.ID != l.primary:
+	case need == sched.NeedPrimary && m.id != l.primary:
 		return false
 	default:
 		return l.usable(clock.Now(), m)
@@ -159,7 +159,7 @@
 	defer l.mu.Unlock()
 	m := c.member
 	delete(m.inUse, c)
-	if l.closed || m.unreachable || l.members[m.backend.ID] != m {
+	if l.closed || m.unreachable || l.members[m.id] != m {
 		m.connCount--
 		c.backend.Close()
 		return
--- a/group/dispatch.go
+++ b/group/dispatch.go
@@ -58,7 +58,7 @@
 func (l *Lane) refreshViews(now clock.Time) {
 	for _, m := range l.members {
 		m.view.FreeConns = len(m.idle) + max(0, l.connections-m.connCount) - m.reservedConns
-		m.view.Primary = l.hasPrimary && m.backend.ID == l.primary
+		m.view.Primary = l.hasPrimary && m.id == l.primary
 		m.view.Accepting = l.historyComplete && !m.unreachable && now > m.backoffUntil && l.usable(now, m)
 	}
 }
@@ -67,13 +67,13 @@
 // it is replaced, also while it drains or its registration is missing; replicas keep serving reads while there is no
 // primary. The caller holds mu.
 func (l *Lane) usable(now clock.Time, m *member) bool {
-	if m.backend.ID == l.primary {
+	if m.id == l.primary {
 		return l.hasPrimary
 	}
 	if m.missingSince != 0 && now.Sub(m.missingSince) > missingMemberTimeout {
 		return false
 	}
-	_, superseded := l.superseded[m.backend.ID]
+	_, superseded := l.superseded[m.id]
 	return !m.backend.Draining && !superseded
 }
 
--- a/group/lane.go
+++ b/group/lane.go
@@ -109,6 +109,9 @@
 
 // member is a backend server of the service, with its connections. The lane's mu guards it.
 type member struct {
+	// id is the member's ID. It never changes, so that it is read without the lock.
+	id string
+
 	backend egret.Backend
 	view    sched.Member
 
@@ -192,6 +195,7 @@
 	m := l.members[b.ID]
 	if m == nil {
 		m = &member{
+			id:    b.ID,
 			inUse: map[*conn]clock.Time{},
 			view: sched.Member{
 				ID:       b.ID,
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -215,6 +215,51 @@
 	}
 }
 
+// TestStatementsBesideRegistrationChanges changes the members' registrations while statements and transactions run. The
+// race detector finds what reads a registration without the lane's lock.
+func TestStatementsBesideRegistrationChanges(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	stop := make(chan struct{})
+	changes := sync.WaitGroup{}
+	changes.Go(func() {
+		for version := 0; ; version++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			backends := s.backends()
+			for i := range backends {
+				backends[i].Slots = 2 + version%2
+			}
+			l.SetMembers(backends)
+		}
+	})
+	callers := sync.WaitGroup{}
+	for i := range 4 {
+		callers.Go(func() {
+			stream := l.Stream()
+			defer stream.Close()
+			for range 50 {
+				w := read("1")
+				if i%2 == 0 {
+					w.Begin = egret.VerbBegin
+				}
+				if a := stream.Do(context.Background(), w); a.Fault.Kind != egret.FaultNone {
+					t.Errorf("answer %+v", a)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	changes.Wait()
+}
+
 // TestTransactionStaysOnItsConnection runs concurrent transactions with different session values. The pool must not
 // give the connection of an open transaction to another one.
 func TestTransactionStaysOnItsConnection(t *testing.T) {
--- a/group/primary.go
+++ b/group/primary.go
@@ -122,7 +122,7 @@
 	m.reservedConns++
 	r := statusReport{
 		member: m,
-		id:     m.backend.ID,
+		id:     m.id,
 	}
 	l.mu.Unlock()
 	c, err := l.getConn(ctx, m, sched.NeedMember, nil)
@@ -170,9 +170,9 @@
 func (l *Lane) invalidatePrimary(m *member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.hasPrimary && l.primary == m.backend.ID {
+	if l.hasPrimary && l.primary == m.id {
 		l.hasPrimary = false
-		l.EventLog.Event("primary-refused").Str("service", l.Service).Str("member", m.backend.ID).Msg("the primary refused a write as read-only")
+		l.EventLog.Event("primary-refused").Str("service", l.Service).Str("member", m.id).Msg("the primary refused a write as read-only")
 		l.wake()
 	}
 }
@@ -202,7 +202,7 @@
 func (l *Lane) demote(ctx context.Context, m *member, term uint64) {
 	l.mu.Lock()
 	m.reservedConns++
-	id := m.backend.ID
+	id := m.id
 	l.mu.Unlock()
 	c, err := l.getConn(ctx, m, sched.NeedMember, nil)
 	if err != nil {
--- a/group/stream.go
+++ b/group/stream.go
@@ -106,7 +106,7 @@
 	if s.conn == nil {
 		return
 	}
-	s.lane.EventLog.Event("transaction-expired").Str("service", s.lane.Service).Str("member", s.conn.member.backend.ID).Msg("rolled back the transaction: it was idle for too long")
+	s.lane.EventLog.Event("transaction-expired").Str("service", s.lane.Service).Str("member", s.conn.member.id).Msg("rolled back the transaction: it was idle for too long")
 	s.rollback()
 }
 
@@ -190,7 +190,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	it.Excluded = append(it.Excluded, m.backend.ID)
+	it.Excluded = append(it.Excluded, m.id)
 	if len(it.Excluded) >= len(l.members) {
 		it.Excluded = nil
 	}
@@ -229,7 +229,7 @@
 		return l.unanswered(w, it, err), it.Need == sched.NeedAny && clock.Now() < it.Deadline
 	}
 	a := answers[len(answers)-1]
-	a.Member = m.backend.ID
+	a.Member = m.id
 	l.recordAnswer(c, it, w, a, elapsed)
 	if !setupSucceeded(answers) || a.Status != egret.TxIdle {
 		l.discardConn(c)
@@ -273,7 +273,7 @@
 	}
 	l.noteAnswer(m, a.Position)
 	if a.Fault.Kind != egret.FaultNone {
-		l.EventLog.Event("member-refused").Str("request", w.Query.ID).Str("service", l.Service).Str("member", m.backend.ID).
+		l.EventLog.Event("member-refused").Str("request", w.Query.ID).Str("service", l.Service).Str("member", m.id).
 			Str("fault", a.Fault.Kind.String()).Str("floor", it.Floor.String()).Str("position", a.Position.String()).
 			Dur("elapsed", elapsed).Msg("the member answered with a fault")
 		return
@@ -343,7 +343,7 @@
 
 // handleExchangeError closes a connection after a failed exchange and starts a check of its member.
 func (l *Lane) handleExchangeError(c *conn, w *egret.StatementRequest, sent clock.Time, err error) {
-	l.EventLog.Event("exchange-failed").Str("request", w.Query.ID).Str("service", l.Service).Str("member", c.member.backend.ID).
+	l.EventLog.Event("exchange-failed").Str("request", w.Query.ID).Str("service", l.Service).Str("member", c.member.id).
 		Dur("elapsed", clock.Since(sent)).Err(err).Msg("the exchange with the member failed before all answers arrived")
 	l.discardConn(c)
 	l.mu.Lock()
--- a/group/transact.go
+++ b/group/transact.go
@@ -94,7 +94,7 @@
 		return s.lostTransaction(w, abortedFault("the transaction was ended before"))
 	}
 	it := s.lane.newItem(w, clock.Now(), sched.NeedMember)
-	it.MemberID = s.conn.member.backend.ID
+	it.MemberID = s.conn.member.id
 	_, fault := s.lane.acquireSlot(ctx, it)
 	if fault.Kind != egret.FaultNone {
 		s.rollback()
@@ -131,7 +131,7 @@
 		return s.lostTransaction(w, abortedFault("the connection to the member was lost"))
 	}
 	a := answers[len(answers)-1]
-	a.Member = c.member.backend.ID
+	a.Member = c.member.id
 	l.recordAnswer(c, it, w, a, elapsed)
 	s.wrote = s.wrote || w.Writes
 	if commit {
