group, egretlane: logs tell a busy holder from a broken network

The hypotheses of docs/incidents/too-little-served.md can't be told apart by the logs: a holder that gets the processor late and a link that drops packets both show as requests without an answer. A process now logs process-delayed when a timer of its own fires over 200 ms late. A queued statement whose stream ended was reported with "no slot came free in time", as if it had waited for its whole time; its cause now says that the stream ended.

--- a/egretlane/isolation.go
+++ b/egretlane/isolation.go
@@ -13,22 +13,35 @@
 // second between two readiness checks of the platform.
 const isolationCheckInterval = 250 * time.Millisecond
 
+// minLoggedDelay is the least delay of a check that is logged. Peers wait little longer for the answer to a ping.
+const minLoggedDelay = 200 * time.Millisecond
+
 // watchIsolation reports the process as not ready while more than half of the services are out of its reach, until the
 // context ends.
 func (n *node) watchIsolation(ctx context.Context) error {
 	i := fleet.Isolation{}
 	tick := time.NewTicker(isolationCheckInterval)
 	defer tick.Stop()
+	checkedAt := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			n.logDelay(clock.Since(checkedAt) - isolationCheckInterval)
+			checkedAt = clock.Now()
 			n.updateIsolation(&i)
 		}
 	}
 }
 
+// logDelay logs that a check began late. Requests of peers wait as long then, though the network is in order.
+func (n *node) logDelay(delay time.Duration) {
+	if delay >= minLoggedDelay {
+		n.eventLog.Event("process-delayed").Dur("delay", delay).Msg("a timer of the process fired late: it lacks processor time, or was suspended")
+	}
+}
+
 // updateIsolation checks once how many services are reachable. If sessions should move, it ends idle ones, so that
 // their callers connect to other processes.
 func (n *node) updateIsolation(i *fleet.Isolation) {
--- a/group/dispatch.go
+++ b/group/dispatch.go
@@ -113,12 +113,12 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return l.dequeue(it)
+	return l.dequeue(ctx, it)
 }
 
 // dequeue removes a statement that is no longer waited for from the queue, and returns the fault for it. A statement
 // that has been given a slot meanwhile keeps the slot.
-func (l *Lane) dequeue(it *sched.Item) (*member, egret.Fault) {
+func (l *Lane) dequeue(ctx context.Context, it *sched.Item) (*member, egret.Fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.queue.Remove(it) {
@@ -132,7 +132,10 @@
 		return nil, notHolderFault()
 	}
 	text := "no slot came free in time"
-	if !l.hasPrimary {
+	switch {
+	case ctx.Err() != nil:
+		text = "the stream of the statement ended"
+	case !l.hasPrimary:
 		text = "the service has no primary"
 	}
 	return nil, egret.Fault{
