fleet: services go to the VMs with the most processor time and bandwidth

Cause: the order of a service's candidates knew nothing of their VMs. On the grown deployments five of six VMs have a tenth of a large one's bandwidth, so most holders were such. When all callers come back at once, their statements wait on the holder's link, which each passes four times. Peers close connections whose pings wait there, the statements return, and the holder counts as silent and loses the service, to another small VM.

Ruled out: lack of processor time.

The load of a process is now counted in parts of what its VM offers, the scarcer of processor and link; both come from the settings, zero is unknown. A process in another region than the primary counts as twice as loaded, as before a process there ranked behind one with as many services.

TestServicesGoToLargeVMs fails without it: small VMs hold 7 of 8 services.

--- a/config/config.go
+++ b/config/config.go
@@ -76,6 +76,12 @@
 	// and sockets. Zero means no limit.
 	MemoryMB    int64 `yaml:"memory-mb"`
 	Descriptors int   `yaml:"descriptors"`
+
+	// ProcessorShare is the fraction of a core that the process gets, ProcessorSpeed the core's speed as a multiple of
+	// the usual one, and LinkMbps the bandwidth of the VM's network link in Mbit/s. Zero means unknown.
+	ProcessorShare float64 `yaml:"processor-share"`
+	ProcessorSpeed float64 `yaml:"processor-speed"`
+	LinkMbps       float64 `yaml:"link-mbps"`
 }
 
 // Trace configures the export of the spans of requests.
@@ -207,6 +213,9 @@
 	check(s.Platform.Promotion.IsValid(), "platform.promotion", "must be set to an IP address and a port")
 	check(s.ShutdownGrace > 0, "shutdown-grace", "must be greater than 0, got %v", time.Duration(s.ShutdownGrace))
 	check(s.Limits.MemoryMB >= 0, "limits.memory-mb", "must not be negative, got %d", s.Limits.MemoryMB)
+	check(s.Limits.ProcessorShare >= 0, "limits.processor-share", "must not be negative, got %v", s.Limits.ProcessorShare)
+	check(s.Limits.ProcessorSpeed >= 0, "limits.processor-speed", "must not be negative, got %v", s.Limits.ProcessorSpeed)
+	check(s.Limits.LinkMbps >= 0, "limits.link-mbps", "must not be negative, got %v", s.Limits.LinkMbps)
 	check(s.Limits.Descriptors >= 0, "limits.descriptors", "must not be negative, got %d", s.Limits.Descriptors)
 	switch s.Trace.Export {
 	case spans.ExportOff, spans.ExportStdout, spans.ExportOTLP:
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -86,6 +86,10 @@
 			Address:     s.Listen.Peers,
 			Domain:      s.Domain,
 			Region:      s.Region,
+			Capacity: fleet.Capacity{
+				Cores:    s.Limits.ProcessorShare * s.Limits.ProcessorSpeed,
+				LinkMbps: s.Limits.LinkMbps,
+			},
 		},
 		Pool:            n.pool,
 		Bootstrap:       s.Bootstrap,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,6 +41,9 @@
 	// Domain and Region are the node's failure domain and its region.
 	Domain string `json:"domain"`
 	Region string `json:"region"`
+
+	// Capacity is what the node's VM offers the proxy.
+	Capacity Capacity `json:"capacity"`
 }
 
 // Fleet tracks the proxies and the holders of services. Its exported fields must be set before Run.
@@ -80,7 +83,11 @@
 	// mu guards the fields below. Lock order: the mu of a lease.Lease is taken before this one.
 	mu sync.Mutex
 
-	nodes  map[string]Node
+	nodes map[string]Node
+
+	// largest has the most cores and the fastest link of all nodes that were registered since the last full list.
+	largest Capacity
+
 	leases map[string]*lease.Lease
 	lanes  map[string]*group.Lane
 
@@ -263,6 +270,7 @@
 	f.mu.Lock()
 	clear(f.nodes)
 	clear(f.records)
+	f.largest = Capacity{}
 	f.listed = true
 	f.mu.Unlock()
 	for _, item := range items {
@@ -317,6 +325,7 @@
 		delete(f.nodes, id)
 	} else {
 		f.nodes[id] = n
+		f.largest = f.largest.max(n.Capacity)
 	}
 	f.EventLog.Event("node-seen").Str("node", id).Str("incarnation", n.Incarnation).Bool("removed", item.Removed).Int("nodes", len(f.nodes)).Msg("the registration of a proxy changed")
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -86,8 +86,9 @@
 	return best
 }
 
-// placement orders the processes that may succeed the holder of a service: those that hold fewer services
-// come first, then those closer to the service's primary, then by a hash that differs for each service.
+// placement orders the processes that may succeed the holder of a service: those that hold fewer services for their
+// capacity come first, then those in the failure domain of the service's primary, then by a hash that differs for each
+// service. A process in another region than the primary counts as holding regionPenalty times as much.
 type placement struct {
 	// service is the service's name. domain and region are those of its primary.
 	service, domain, region string
@@ -95,6 +96,9 @@
 	// holder is the ID of the current holder, or "". It is not a candidate.
 	holder string
 
+	// largest has the most cores and the fastest link of all processes.
+	largest Capacity
+
 	// serviceCounts is the number of services that each process holds. It is shared and must not be
 	// changed. The service itself counts only for its holder, which isn't a candidate.
 	serviceCounts map[string]int
@@ -107,6 +111,9 @@
 		serviceCounts: f.serviceCounts(),
 	}
 	p.domain, p.region = f.PrimaryLocation(service)
+	f.mu.Lock()
+	p.largest = f.largest
+	f.mu.Unlock()
 	if l := f.Lease(service); l != nil {
 		if s, known := l.LatestRecord(); known && s.Revision != 0 && !s.Record.Released {
 			p.holder = s.Record.Node
@@ -141,19 +148,28 @@
 	return counts
 }
 
-// maxScoredServices is the highest number of services that a score distinguishes: it has four bits for
-// the number.
-const maxScoredServices = 15
+const (
+	// maxLoad is the highest load that a score distinguishes: it has 16 bits for the load.
+	maxLoad = 1<<16 - 1
+
+	// loadUnit is the load of one service on a process of the largest capacity.
+	loadUnit = 8
+
+	// regionPenalty is by how much a process in another region than the primary is ranked as more loaded. Each
+	// statement crosses between the regions twice there.
+	regionPenalty = 2
+)
 
 // score returns the rank key of a node. Better placed nodes have lower scores. It is called for each
 // process of the fleet many times a second, so it must not allocate.
 func (p *placement) score(n *Node) uint64 {
-	s := uint64(min(p.serviceCounts[n.ID], maxScoredServices)) << 60
+	load := float64(p.serviceCounts[n.ID]+1) * loadUnit / n.Capacity.relativeTo(p.largest)
 	if n.Region != p.region {
-		s += 1 << 59
+		load *= regionPenalty
 	}
+	s := uint64(min(load, maxLoad)) << 48
 	if n.Domain != p.domain {
-		s += 1 << 58
+		s += 1 << 47
 	}
 	d := xxhash.Digest{}
 	d.Reset()
@@ -161,7 +177,7 @@
 	_, _ = d.WriteString(p.service)
 	_, _ = d.WriteString(" ")
 	_, _ = d.WriteString(n.ID)
-	return s + d.Sum64()>>8
+	return s + d.Sum64()>>17
 }
 
 // UnresponsiveFor returns how long the process has left requests unanswered. It is zero if the process answers, or
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -121,15 +121,51 @@
 	}
 }
 
-// TestScoreOrderAboveMaximum checks that a process with more services than maxScoredServices, the largest
-// number that a score distinguishes, still ranks last.
+// TestScoreOrderAboveMaximum checks that a process with more services than maxLoad, the largest load that a score
+// distinguishes, still ranks last.
 func TestScoreOrderAboveMaximum(t *testing.T) {
 	p := &placement{
 		service:       "s",
-		serviceCounts: map[string]int{"a": 40, "b": 3},
+		serviceCounts: map[string]int{"a": 1 << 20, "b": 40, "c": 3},
 	}
-	scores := []uint64{p.score(&Node{ID: "c"}), p.score(&Node{ID: "b"}), p.score(&Node{ID: "a"})}
+	scores := []uint64{p.score(&Node{ID: "d"}), p.score(&Node{ID: "c"}), p.score(&Node{ID: "b"}), p.score(&Node{ID: "a"})}
 	if !slices.IsSorted(scores) {
-		t.Errorf("scores %x of 0, 3 and 40 services", scores)
+		t.Errorf("scores %x of 0, 3, 40 and %d services", scores, 1<<20)
+	}
+}
+
+// TestServicesGoToLargeVMs guards against holders on the smallest VMs of a fleet, which lack the processor time for the
+// rush of all callers after a loss of power while larger VMs hold nothing.
+func TestServicesGoToLargeVMs(t *testing.T) {
+	f := largeFleet(t, 40, 0)
+	for i := range 40 {
+		n := f.nodes[fmt.Sprintf("n%d", i)]
+		n.Capacity = Capacity{Cores: 0.2, LinkMbps: 10}
+		if i%10 == 0 {
+			n.Capacity = Capacity{Cores: 0.8, LinkMbps: 200}
+		}
+		data, err := json.Marshal(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.applyItem(egret.Item{Key: nodesPrefix + n.ID, Data: data, Revision: 100})
+	}
+	held := map[string]int{}
+	for i := range 8 {
+		service := fmt.Sprintf("s%d", i)
+		f.Configure([]string{service})
+		f.Self = Node{ID: "observer", Region: "elsewhere"}
+		holder := f.Successor(service)
+		held[holder]++
+		data, err := json.Marshal(lease.Record{Node: holder})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.applyItem(egret.Item{Key: lease.Prefix + service, Data: data, Revision: uint64(200 + i)})
+	}
+	for id, count := range held {
+		if f.nodes[id].Capacity.Cores < 0.8 || count != 2 {
+			t.Errorf("%s with %+v holds %d of 8 services, want 2 on each of the four large VMs", id, f.nodes[id].Capacity, count)
+		}
 	}
 }
