fleet: a process counts the services that it is about to acquire

Cause: the order of candidates counts the services whose records name a process. A process whose leases see the same cause within a moment finds that it holds none, for each of them, and acquires all for which its delay has passed.

Each service that a process may acquire now counts as held by it for a second, beside those of the records.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,9 @@
 	// relayed its changes, or zero.
 	storeDownSince atomic.Int64
 
+	// claiming serializes MayAcquire. It is locked before mu.
+	claiming sync.Mutex
+
 	// mu guards the fields below. Lock order: the mu of a lease.Lease is taken before this one.
 	mu sync.Mutex
 
@@ -107,6 +110,9 @@
 	// givenUp has the revisions of the leases that their holders have reported as ended.
 	givenUp map[uint64]bool
 
+	// claims has the times at which MayAcquire allowed this process to acquire services.
+	claims map[string]clock.Time
+
 	// cachedCounts is the number of services that each process held at cachedCountsAt.
 	cachedCounts   map[string]int
 	cachedCountsAt clock.Time
@@ -139,6 +145,7 @@
 	f.indirectRoutes = map[netip.AddrPort]indirectRoute{}
 	f.indirectProbes = map[netip.AddrPort]bool{}
 	f.givenUp = map[uint64]bool{}
+	f.claims = map[string]clock.Time{}
 	f.movedPingAt = map[netip.AddrPort]clock.Time{}
 }
 
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -46,7 +46,7 @@
 // stops counting at the limit.
 func (f *Fleet) Rank(service string, limit int) int {
 	p := f.placement(service)
-	own := p.score(&f.Self)
+	own := p.scoreWith(&f.Self, f.ownClaims(service))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	better := 0
@@ -61,6 +61,41 @@
 	return better
 }
 
+// claimTime is for how long a service that this process may acquire counts as held by it, beside those whose records
+// show it. By then, the record shows whether it is.
+const claimTime = time.Second
+
+// MayAcquire reports whether at most the given number of processes are better placed to hold the service than this one.
+// If so, the service counts as held by this process for claimTime, so that a process doesn't acquire many services at
+// once on the ground that it holds none.
+func (f *Fleet) MayAcquire(service string, above int) bool {
+	f.claiming.Lock()
+	defer f.claiming.Unlock()
+	if f.Rank(service, above+1) > above {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.claims[service] = clock.Now()
+	return true
+}
+
+// ownClaims returns how many services other than the given one this process may have acquired within claimTime.
+func (f *Fleet) ownClaims(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for name, at := range f.claims {
+		switch {
+		case clock.Since(at) > claimTime:
+			delete(f.claims, name)
+		case name != service:
+			n++
+		}
+	}
+	return n
+}
+
 // invalidateCounts discards the cached counts, so that the next placement counts again.
 func (f *Fleet) invalidateCounts() {
 	f.mu.Lock()
@@ -163,7 +198,12 @@
 // score returns the rank key of a node. Better placed nodes have lower scores. It is called for each
 // process of the fleet many times a second, so it must not allocate.
 func (p *placement) score(n *Node) uint64 {
-	load := float64(p.serviceCounts[n.ID]+1) * loadUnit / n.Capacity.relativeTo(p.largest)
+	return p.scoreWith(n, 0)
+}
+
+// scoreWith is score for a node that holds more services than are counted.
+func (p *placement) scoreWith(n *Node, more int) uint64 {
+	load := float64(p.serviceCounts[n.ID]+more+1) * loadUnit / n.Capacity.relativeTo(p.largest)
 	if n.Region != p.region {
 		load *= regionPenalty
 	}
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -169,3 +169,30 @@
 		}
 	}
 }
+
+// TestClaimsAreSpread guards against a process that acquires most services of a fleet within a moment, each time on the
+// ground that it holds none.
+func TestClaimsAreSpread(t *testing.T) {
+	f := largeFleet(t, 12, 0)
+	names := []string{}
+	for i := range 8 {
+		names = append(names, fmt.Sprintf("s%d", i))
+	}
+	f.Configure(names)
+	allowed := 0
+	for _, name := range names {
+		if f.MayAcquire(name, 8) {
+			allowed++
+		}
+	}
+	if allowed > 1 {
+		t.Errorf("one process of 12 may acquire %d of 8 services at once", allowed)
+	}
+	f.Self.ID = "n1"
+	for _, name := range names {
+		f.claims[name] = clock.Now().Add(-2 * claimTime)
+	}
+	if n := f.ownClaims("s0"); n != 0 {
+		t.Errorf("%d claims count after their time", n)
+	}
+}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -46,10 +46,9 @@
 	if age < why.delay {
 		return false
 	}
-	// Each process of a higher rank has a head start of rankDelay. Rank doesn't need to count more of them than
-	// delays have passed.
+	// Each process of a higher rank has a head start of rankDelay.
 	passed := int((age - why.delay) / rankDelay)
-	if !why.preferred && l.Peers.Rank(l.Service, passed+1) > passed {
+	if !why.preferred && !l.Peers.MayAcquire(l.Service, passed) {
 		return false
 	}
 	l.acquire(ctx, why)
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -229,7 +229,7 @@
 	return !p.cluster.peerCuts[[2]string{nodeName(p.index), node}] && !p.cluster.peerCuts[[2]string{node, nodeName(p.index)}]
 }
 
-func (p *fakePeers) Rank(_ string, limit int) int { return min(p.index, limit) }
+func (p *fakePeers) MayAcquire(_ string, above int) bool { return p.index <= above }
 
 func (p *fakePeers) UnresponsiveFor(r Record) time.Duration {
 	p.responseChecks.Add(1)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -49,7 +49,7 @@
 	// successorHeadStart is how long other processes leave a released service to the named successor.
 	successorHeadStart = 300 * time.Millisecond
 
-	// rankDelay is the head start of each process over the next one in the order of Peers.Rank.
+	// rankDelay is the head start of each process over the next one in the order of Peers.MayAcquire.
 	rankDelay = 150 * time.Millisecond
 
 	// expiryGrace is how long after its expiry a lease may still be renewed, so that a short pause of the
@@ -71,9 +71,10 @@
 
 // Peers answers questions about the other processes, and sends requests to them.
 type Peers interface {
-	// Rank returns how many live processes take precedence over this one as the service's next holder. It
-	// stops counting at limit.
-	Rank(service string, limit int) int
+	// MayAcquire reports whether at most the given number of live processes take precedence over this one as the
+	// service's next holder. If so, the service counts as held by this process from now on, until its record shows the
+	// outcome.
+	MayAcquire(service string, above int) bool
 
 	// UnresponsiveFor returns for how long the process has been unresponsive. It is zero if it responds, or if
 	// another live process gets responses from it.
