watch: a process that is cut off from the store and its peers notices it in 2 s

Cause: a process that gets the store's changes from others asks the store only when these are silent, and then with a call that waits 3 s for changes, which a partition leaves unanswered.

The first such call waits 100 ms. Once the store has answered, further calls wait for 3 s as before.

TestPartitionIsNoticedSoon failed before: noticed after 3.25 s.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -28,7 +28,8 @@
 	// is noticed, so it is shorter than the time within which a configuration has to be in force.
 	pollTimeout = 3 * time.Second
 
-	// probeTimeout is how long a call waits for changes while calls to the store fail.
+	// probeTimeout is how long a call waits for changes while calls to the store fail, or when other processes have
+	// stopped giving changes, to learn soon whether the store can be reached.
 	probeTimeout = 100 * time.Millisecond
 
 	// peerInterval is the time between two requests for changes to other processes. A configuration has to be
@@ -102,6 +103,9 @@
 	// storeRetryAt is when a process that relies on others may call the store next.
 	storeRetryAt clock.Time
 
+	// storeConfirmed says that the store has responded since other processes gave changes last.
+	storeConfirmed bool
+
 	// changes are the known changes, for requests of other processes.
 	changes changeLog
 }
@@ -139,6 +143,7 @@
 				}
 				revision = w.apply(items, max(revision, next), false)
 				w.peerResponseAt = clock.Now()
+				w.storeConfirmed = false
 				w.storeRetryAt = w.peerResponseAt.Add(peerTimeout)
 				w.markReconnected("another process")
 			}
@@ -150,7 +155,7 @@
 		if revision == 0 {
 			return
 		}
-		items, next, err := w.Keys.Watch(ctx, w.Prefix, revision, w.changesTimeout())
+		items, next, err := w.Keys.Watch(ctx, w.Prefix, revision, w.changesTimeout(direct))
 		if err != nil {
 			w.storeRetryAt = clock.Now().Add(storeRetryInterval/2 + rand.N(storeRetryInterval))
 		}
@@ -161,14 +166,16 @@
 		if w.handleResult(ctx, err) {
 			continue
 		}
+		w.storeConfirmed = true
 		revision = w.apply(items, next, true)
 	}
 }
 
 // changesTimeout returns how long the next call waits for changes. A call that is sent in an outage may never get a
-// response, so a call after a failed one is short, to notice soon that the store is back.
-func (w *Watcher) changesTimeout() time.Duration {
-	if w.storeFailing.Load() {
+// response, so a call after a failed one is short, to notice soon that the store is back. So is the first call of a
+// process that relies on others after these have stopped giving changes, to notice a partition soon.
+func (w *Watcher) changesTimeout(direct bool) time.Duration {
+	if w.storeFailing.Load() || !direct && !w.storeConfirmed {
 		return probeTimeout
 	}
 	return pollTimeout
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -175,3 +175,41 @@
 		t.Errorf("%d calls in %s, want at least 2, as the other processes may be cut off from the store", calls.Load(), span)
 	}
 }
+
+// silentKeys is a store that answers List and leaves all other calls unanswered.
+type silentKeys struct {
+	*scriptedKeys
+}
+
+func (k *silentKeys) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]egret.Item, uint64, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return nil, 0, errors.New("no answer")
+}
+
+// TestPartitionIsNoticedSoon guards against a process that relies on others and waits for a whole call to a silent store
+// before it knows that it is cut off from both. Until then its callers wait for services that nobody can take over.
+func TestPartitionIsNoticedSoon(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	up, events := atomic.Bool{}, make(chan string, 16)
+	up.Store(true)
+	w := peerWatch(&up, &atomic.Int64{}, events)
+	w.Keys = &silentKeys{
+		scriptedKeys: &scriptedKeys{lists: [][]egret.Item{{{Key: "p/a", Revision: 3}}}},
+	}
+	go func() { _ = w.Run(ctx) }()
+	time.Sleep(3 * peerInterval)
+	up.Store(false)
+	began := time.Now()
+	select {
+	case <-events:
+	case <-time.After(2 * pollTimeout):
+		t.Fatal("the partition was not noticed")
+	}
+	if elapsed := time.Since(began); elapsed > peerFreshness+time.Second {
+		t.Errorf("the partition was noticed after %s", elapsed)
+	}
+}
