lease, fleet: statements behind a partition are refused at once

The former holder goes on with the promises of its voters on the other side and could have run them.

Cause: the successor knows that it can't reach a majority of these voters, and that it has to wait up to 9.1 s. It answered "doesn't hold the service", on which a statement is routed again until its time is over.

Such a successor refuses at once what has less time than it has to wait, as not run, so that the caller turns to another process. A wait of a known, shorter time (1.6 s) doesn't refuse: there no other process could run the statement sooner.

TestSuccessorKnowsThatItMustWait and TestStatementsAreRefusedBehindPartition need what this adds. Before, the statement of the latter waited for its 3 s.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,3 +140,64 @@
 		t.Errorf("%d processes watch the store", direct)
 	}
 }
+
+// recordKeys is a store with the record of one service.
+type recordKeys struct {
+	egret.Keyspace
+	mu   sync.Mutex
+	item egret.Item
+}
+
+func (k *recordKeys) Read(context.Context, string) (egret.Item, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.item, nil
+}
+
+func (k *recordKeys) CompareAndSwap(_ context.Context, key string, revision uint64, data []byte, _ egret.LeaseID) (uint64, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.item.Revision != revision {
+		return 0, egret.ErrConflict
+	}
+	k.item = egret.Item{
+		Key:      key,
+		Data:     data,
+		Revision: revision + 1,
+	}
+	return k.item.Revision, nil
+}
+
+// TestStatementsAreRefusedBehindPartition guards against statements that wait until their time is over at a process that
+// has acquired a service but can't reach the former holder's voters. The former holder may run them at once for a caller
+// that turns to another process.
+func TestStatementsAreRefusedBehindPartition(t *testing.T) {
+	f := newFleet(t, closedAddress)
+	items := holderItems(t, 5, lease.Record{
+		Node:        "other",
+		Incarnation: "1",
+		Address:     closedAddress,
+		Voters:      []lease.Voter{{Node: "other", Address: closedAddress}, {Node: "third", Address: closedAddress}},
+	})
+	f.Keys = &recordKeys{item: items[0]}
+	f.Configure([]string{"s"})
+	l := f.Lease("s")
+	l.Keys = f.Keys
+	f.applySnapshot(items)
+	_, _ = f.Pool.Ping(t.Context(), closedAddress)
+	go func() { _ = l.Run(t.Context()) }()
+	for deadline := time.Now().Add(5 * time.Second); l.AwaitsUnreachable() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("this process doesn't acquire the service, or reaches its voters")
+		}
+	}
+	for name, s := range map[string]egret.Stream{"caller": f.CallerStream(), "peer": f.PeerStream(false)} {
+		began := time.Now()
+		if a := s.Do(t.Context(), readRequest()); a.Fault.Kind != egret.FaultBusy {
+			t.Errorf("%s: answer %+v, want a refusal", name, a)
+		}
+		if elapsed := time.Since(began); elapsed > 200*time.Millisecond {
+			t.Errorf("%s: the refusal came after %v", name, elapsed)
+		}
+	}
+}
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -117,7 +117,12 @@
 		if cause := r.fleet.unavailableCause(w.Service); cause != "" && r.mayRouteIndirectly {
 			return r.refuse(w, cause)
 		}
-		if !r.connect(r.targetOf(w.Service)) {
+		t := r.targetOf(w.Service)
+		if t.lane == nil && r.fleet.awaitsUnreachable(w.Service) > remaining {
+			// The former holder may still use the service. Another process that the caller turns to may reach it.
+			return r.refuse(w, "the former holder's lease may be valid for longer than the statement has time")
+		}
+		if !r.connect(t) {
 			if !r.mayForward {
 				return faultAnswer(egret.FaultNotHolder, "this process doesn't hold the service", egret.TxIdle)
 			}
@@ -195,6 +200,16 @@
 	return "the holder of the service is lost, and the store gives no answer to replace it"
 }
 
+// awaitsUnreachable returns how long this process waits until it may use the service, as the voters of its former holder
+// can't be reached, or zero.
+func (f *Fleet) awaitsUnreachable(service string) time.Duration {
+	l := f.Lease(service)
+	if l == nil {
+		return 0
+	}
+	return l.AwaitsUnreachable()
+}
+
 // answerInDoubt answers a write or a commit whose outcome is unknown, and closes the stream.
 func (r *routedStream) answerInDoubt(w egret.StatementRequest, a egret.Answer) egret.Answer {
 	r.Close()
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -164,6 +164,7 @@
 	l.replaced = former
 	l.validUntil = 0
 	l.awaitedVoters, l.replacedAwaited = slices.Clone(record.Awaits), awaitFormer
+	l.votersUnreachable = false
 	l.acquiredAt = clock.Now()
 	l.usableFrom = clock.Now()
 	if !why.holderStopped || len(l.awaitedVoters) > 0 {
@@ -249,7 +250,7 @@
 	if n := len(l.awaitedVoters); l.replacedAwaited && n > 0 {
 		l.awaitedVoters = l.awaitedVoters[:n-1]
 	}
-	l.replacedAwaited = false
+	l.replacedAwaited, l.votersUnreachable = false, false
 	if len(l.awaitedVoters) == 0 {
 		l.usableFrom = clock.Now()
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -173,6 +173,9 @@
 	awaitedVoters   [][]Voter
 	replacedAwaited bool
 
+	// votersUnreachable says that the last attempt to fence the former holders reached too few voters.
+	votersUnreachable bool
+
 	// uncertainWrite is one more than the revision that a write of unknown outcome depends on, or zero. The
 	// store may still execute that write.
 	uncertainWrite uint64
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -143,6 +143,49 @@
 	}
 }
 
+// TestSuccessorKnowsThatItMustWait guards against statements that wait until their time is over at a successor on the
+// smaller side of a partition, while the former holder on the other side can run them.
+func TestSuccessorKnowsThatItMustWait(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	if wait := holder.AwaitsUnreachable(); wait != 0 {
+		t.Errorf("the holder waits %s", wait)
+	}
+	minority := map[string]bool{}
+	for _, l := range cl.leases {
+		if l != holder && len(minority) < 2 {
+			minority[l.Self.Node] = true
+		}
+	}
+	cl.update(func() {
+		for i := range 5 {
+			for j := range 5 {
+				cl.peerCuts[[2]string{nodeName(i), nodeName(j)}] = minority[nodeName(i)] != minority[nodeName(j)]
+			}
+			cl.storeCuts[nodeName(i)] = !minority[nodeName(i)]
+		}
+	})
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		waits := time.Duration(0)
+		for _, l := range cl.leases {
+			waits = max(waits, l.AwaitsUnreachable())
+		}
+		if waits > maxExtension/2 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no successor knows that it must wait for voters that it can't reach")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !holder.Valid() {
+		t.Error("the former holder has lost its lease")
+	}
+}
+
 // TestNamedSuccessorGoesFirst releases a lease to the process of the lowest rank, which must acquire it without the
 // delays of its rank.
 func TestNamedSuccessorGoesFirst(t *testing.T) {
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -210,7 +210,11 @@
 		Int("open", len(pending)).Int("barred", len(refusing)).Bool("waited-out", extensionOver).Dur("lapse", clock.Until(expiry)).Msg("asked the voters of former holders to refuse promises to them")
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision != revision || len(pending) > 0 {
+	if l.heldRevision != revision {
+		return
+	}
+	l.votersUnreachable = len(pending) > 0
+	if l.votersUnreachable {
 		return
 	}
 	l.awaitedVoters = nil
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -35,6 +35,18 @@
 	return clock.Until(l.validUntil)
 }
 
+// AwaitsUnreachable returns how long this process waits until it may use the service because the voters of a former
+// holder can't be reached. It is zero if this process waits for no such voters. Meanwhile the former holder may use the
+// service, with the promises of these voters.
+func (l *Lease) AwaitsUnreachable() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heldRevision == 0 || l.validUntil != 0 || !l.votersUnreachable {
+		return 0
+	}
+	return max(0, clock.Until(l.acquiredAt.Add(maxExtension+clockDriftMargin)))
+}
+
 // FencingToken returns the fencing token: the revision at which this process acquired the lease.
 func (l *Lease) FencingToken() uint64 {
 	l.mu.Lock()
