lease: a new holder isn't replaced for earlier silence at its address

Cause: a process counts for how long an address has left its requests unanswered. After a loss of power that began before the process there started and acquired the service.

The silence of a holder now counts from its record on: it was running when it wrote that.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -100,7 +100,8 @@
 			since: changedAt,
 		}
 	}
-	if unresponsive := l.Peers.UnresponsiveFor(r); unresponsive > holderTimeout {
+	// The holder was running when it wrote the record, so that earlier silence doesn't count.
+	if unresponsive := min(l.Peers.UnresponsiveFor(r), clock.Since(changedAt)); unresponsive > holderTimeout {
 		return cause{
 			name:               "holder silent",
 			holderUnresponsive: true,
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"egretlane.example/egret/clock"
 )
 
 // TestLeaseOutlastsStoreOutage cuts all processes off from the store, and a minority of them off from the others.
@@ -202,6 +204,33 @@
 	}
 }
 
+// TestNewHolderIsNotReplacedForEarlierSilence guards against a holder that has just acquired the lease and is replaced
+// because a process got no response from it before, as after a loss of power.
+func TestNewHolderIsNotReplacedForEarlierSilence(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 3)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	next, other := nodeName(1), 2
+	if holder.Self.Node == next {
+		next = nodeName(0)
+	}
+	peers := cl.leases[other].Peers.(*fakePeers)
+	cl.update(func() { cl.peerCuts[[2]string{nodeName(other), next}] = true })
+	peers.mu.Lock()
+	peers.unresponsiveSince[next] = clock.Now().Add(-10 * time.Second)
+	peers.mu.Unlock()
+	holder.DisableAcquisition()
+	holder.Release(t.Context(), next)
+	cl.awaitHolder(t, "successor", 5*time.Second, func(l *Lease) bool { return l.Self.Node == next })
+	time.Sleep(holderTimeout / 2)
+	cl.update(func() { clear(cl.peerCuts) })
+	time.Sleep(2 * holderTimeout)
+	if v, _ := cl.leases[other].LatestRecord(); v.Record.Node != next {
+		t.Errorf("%s has replaced the new holder", v.Record.Node)
+	}
+}
+
 // TestLostRecordIsRestored makes the store lose the record of a running holder, which must keep the lease.
 func TestLostRecordIsRestored(t *testing.T) {
 	t.Parallel()
