keysim, soak: the store comes back from an older copy

What the system wrote since is gone, revisions are given out again, a watch from one that the store doesn't have is refused, and the header Store-Era rises by one. What the operator and the members wrote is written again.

In a fifth of the soak's seeds with faults, a holder is killed, the store is restored from a copy of before, and it stays silent to one proxy. Plans of other seeds are the same. After all faults, the soak asks for a quarter of the statements of each service, not of all together: a service without a holder could hide behind another one.

--- a/egretlab/keysim/calls.go
+++ b/egretlab/keysim/calls.go
@@ -26,6 +26,7 @@
 			f := s.faultOf(caller)
 			time.Sleep(f.Delay)
 			if !reject(w, q, f.Mode) {
+				w.Header().Set(eraHeader, strconv.FormatUint(s.Era(), 10))
 				h(w, q)
 			}
 		})
@@ -117,6 +118,7 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	era := s.Era()
 	for expired := false; ; {
 		events, at, changed, kept := s.changesAfter(values.Get("prefix"), after)
 		if !kept {
@@ -143,6 +145,11 @@
 		case <-q.Context().Done():
 			return
 		}
+		if s.Era() != era {
+			// The watch was lost with the store that it waited in.
+			reset(w)
+			return
+		}
 		// A fault that is set while the watch waits rejects it too.
 		if reject(w, q, s.faultOf(caller).Mode) {
 			return
--- a/egretlab/keysim/server.go
+++ b/egretlab/keysim/server.go
@@ -36,8 +36,13 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	revision uint64
-	items    map[string]item
-	leases   map[uint64]*lease
+
+	// restores counts the calls of Restore. copies are the states of the last maxCopyAge, oldest first.
+	restores uint64
+	copies   []storeCopy
+
+	items  map[string]item
+	leases map[uint64]*lease
 
 	// changes has the changes after droppedRevision, oldest first. A watch that starts before
 	// droppedRevision is refused.
@@ -79,6 +84,7 @@
 			return
 		case now := <-tick.C:
 			s.expireLeases(now)
+			s.keepCopy(now)
 		}
 	}
 }
@@ -210,14 +216,15 @@
 }
 
 // changesAfter returns the changes of keys with the prefix after a revision, the store's revision, and a
-// channel that is closed at the next change of an item or of a fault. It returns false if changes after the revision were dropped.
+// channel that is closed at the next change of an item or of a fault. It returns false if changes after the revision were
+// dropped, or if the store doesn't have the revision.
 func (s *Server) changesAfter(prefix string, after uint64) ([]item, uint64, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.changed == nil {
 		s.changed = make(chan struct{})
 	}
-	if after < s.droppedRevision {
+	if after < s.droppedRevision || after > s.revision {
 		return nil, 0, nil, false
 	}
 	found := []item{}
--- a/egretlab/keysim/server_test.go
+++ b/egretlab/keysim/server_test.go
@@ -106,3 +106,41 @@
 		})
 	}
 }
+
+// TestRestoreBringsBackAnOlderCopy checks what a restored store has: the system's keys as they were, those of the operator
+// and the members as they are, revisions that are given out again, and no watch from a revision that was lost.
+func TestRestoreBringsBackAnOlderCopy(t *testing.T) {
+	s, c := newStore(t)
+	ctx := t.Context()
+	revision := mustWrite(t, c, 0, "one")
+	time.Sleep(2 * copyInterval)
+	time.Sleep(2 * copyInterval)
+	lost := mustWrite(t, c, revision, "two")
+	s.Put("op/config", []byte("new"))
+	s.Restore(copyInterval + copyInterval/2)
+	if item, err := c.Read(ctx, "k"); err != nil || string(item.Data) != "one" {
+		t.Errorf("the system's key is %+v, %v", item, err)
+	}
+	if item, err := c.Read(ctx, "op/config"); err != nil || string(item.Data) != "new" {
+		t.Errorf("the operator's key is %+v, %v", item, err)
+	}
+	if _, _, err := c.Watch(ctx, "", lost+10, time.Second); !errors.Is(err, egret.ErrCompacted) {
+		t.Errorf("watch from a revision that was lost: %v", err)
+	}
+	if again := mustWrite(t, c, revision, "three"); again > lost+1 {
+		t.Errorf("the next revision is %v, after %v before the restore", again, lost)
+	}
+	if s.Era() != 2 {
+		t.Errorf("era %d", s.Era())
+	}
+}
+
+// mustWrite writes the key "k" and returns its revision.
+func mustWrite(t *testing.T, c *platform.Store, revision uint64, value string) uint64 {
+	t.Helper()
+	written, err := c.CompareAndSwap(t.Context(), "k", revision, []byte(value), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return written
+}
--- a/egretlab/soak/caller.go
+++ b/egretlab/soak/caller.go
@@ -200,7 +200,7 @@
 		c.soak.checkUnanswered(c, id, text, sent, txStartedAt, err)
 		return err
 	}
-	c.soak.recordStatement(sent, fault == "")
+	c.soak.recordStatement(c.route.service, sent, fault == "")
 	verb, _, _ := strings.Cut(text, " ")
 	if fault != "" && (verb == "SET" || verb == "PREPARE" || verb == "CLOSE") {
 		return errSessionEnded
--- a/egretlab/soak/faults.go
+++ b/egretlab/soak/faults.go
@@ -37,6 +37,10 @@
 	// misbehavingCallers is the number of misbehaving callers that connect at once.
 	misbehavingCallers = 12
 
+	// minCopyAge and maxCopyAge bound the age, at the start of its outage, of the copy that a store is restored from.
+	minCopyAge = 4 * time.Second
+	maxCopyAge = 10 * time.Second
+
 	// storeWriteFaultRate is the ratio of conditional writes whose answers are lost or that are executed late.
 	storeWriteFaultRate = 0.5
 )
@@ -262,6 +266,8 @@
 		return s.writeInvalidEntries(e)
 	case KindCutPrimary, KindCutPrimaryFromSome, KindCutPrimaryOneWay:
 		return s.cutPrimary(e, primary)
+	case KindStoreRestored:
+		return s.restoreStore(e)
 	default:
 		return s.impairStore(e, p)
 	}
@@ -406,3 +412,14 @@
 		s.store.SetFault(client, keysim.Fault{})
 	}
 }
+
+// restoreStore makes the store fail for all proxies. The returned function brings it back from an older copy.
+func (s *Soak) restoreStore(e Event) func() {
+	s.store.SetFault("", keysim.Fault{
+		Mode: keysim.ModeSilent,
+	})
+	return func() {
+		s.store.Restore(e.Duration + minCopyAge + time.Duration(e.Target)*time.Millisecond%(maxCopyAge-minCopyAge))
+		s.store.SetFault("", keysim.Fault{})
+	}
+}
--- a/egretlab/soak/plan.go
+++ b/egretlab/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -53,6 +54,7 @@
 	KindSlowMember             Kind = "slow-member"
 	KindReplicaReceivesNothing Kind = "replica-receives-nothing"
 	KindMisbehavingCallers     Kind = "rude-callers"
+	KindStoreRestored          Kind = "store-restored"
 )
 
 // plannedKinds are the kinds of planned work, during which no request may be lost.
@@ -67,7 +69,7 @@
 
 // Kinds returns all kinds of planned work and faults.
 func Kinds() []Kind {
-	return slices.Concat(plannedKinds, faultKinds)
+	return append(slices.Concat(plannedKinds, faultKinds), KindStoreRestored)
 }
 
 // Event is a fault or a piece of planned work in a plan.
@@ -97,8 +99,9 @@
 	Events []Event `json:"events"`
 }
 
-// NewPlan generates the plan of a seed. Every fourth seed has planned work only, and every third has a synchronous
-// replica. If kinds are given, the plan has no others.
+// NewPlan generates the plan of a seed. Every fourth seed has planned work only, every third has a synchronous
+// replica, and in one of five that have faults, the store is restored from an older copy. If kinds are given, the plan
+// has no others.
 func NewPlan(seed uint64, duration time.Duration, only ...Kind) *Plan {
 	r := rand.New(rand.NewPCG(seed, 1))
 	p := &Plan{
@@ -108,7 +111,7 @@
 	if seed%3 == 0 {
 		p.SyncReplicas = 1
 	}
-	kinds := Kinds()
+	kinds := slices.Concat(plannedKinds, faultKinds)
 	if seed%4 == 0 {
 		kinds = plannedKinds
 	}
@@ -130,5 +133,39 @@
 		})
 		at += time.Duration(r.ExpFloat64() * float64(meanEventInterval))
 	}
+	if seed%5 == 3 && seed%4 != 0 && len(only) == 0 {
+		p.addRestore()
+	}
 	return p
 }
+
+// addRestore adds a restore of the store to a plan with other events. A proxy that holds services is killed a few seconds
+// before, so that the copy names another holder, and the restored store doesn't answer to a proxy at first. The restore has
+// its own sequence of random numbers, so that plans of seeds without one stay the same.
+func (p *Plan) addRestore() {
+	r := rand.New(rand.NewPCG(p.Seed, 2))
+	random := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
+	const maxOutage = 2500 * time.Millisecond
+	first, last := warmUpDuration+minCopyAge, p.Duration-cooldownDuration-maxOutage
+	if last <= first {
+		return
+	}
+	restore := Event{
+		At:       first + random(last-first),
+		Duration: maxOutage/5 + random(maxOutage*4/5),
+		Kind:     KindStoreRestored,
+		Target:   r.IntN(1 << 16),
+	}
+	p.Events = append(p.Events, Event{
+		At:       restore.At - time.Second - random(minCopyAge-time.Second),
+		Duration: time.Second,
+		Kind:     KindKillProxy,
+		Target:   2 * r.IntN(1<<15),
+	}, restore, Event{
+		At:       restore.At + restore.Duration,
+		Duration: time.Second + random(4*time.Second),
+		Kind:     KindStoreSilentToProxy,
+		Target:   r.IntN(1 << 16),
+	})
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+}
--- a/egretlab/soak/soak.go
+++ b/egretlab/soak/soak.go
@@ -24,7 +24,7 @@
 	readyTimeout = 20 * time.Second
 
 	// recoveryTimeout is the time after the start of the cool-down by which requests must be served again.
-	// minServedRatio is the ratio of statements that must succeed from then on.
+	// minServedRatio is the ratio of each service's statements that must succeed from then on.
 	recoveryTimeout = 8 * time.Second
 	minServedRatio  = 0.25
 
@@ -79,8 +79,8 @@
 	activeFaults    int
 	lastFaultChange time.Time
 
-	// afterFaults counts the statements that ended after recoveryTimeout: those that succeeded, and all.
-	afterFaults [2]int
+	// afterFaults counts, by service, the statements that ended after recoveryTimeout: those that succeeded, and all.
+	afterFaults map[string][2]int
 }
 
 // Report is the outcome of a run.
@@ -122,6 +122,7 @@
 		PauseLeases: s.Plan.Seed%2 == 0,
 	}
 	s.lastFaultChange = time.Now()
+	s.afterFaults = map[string][2]int{}
 	g, ctx := errgroup.WithContext(ctx)
 	if err := s.startProcesses(ctx, g); err != nil {
 		cancel()
@@ -171,11 +172,13 @@
 		synchronous[g.Service] = g.SyncReplicas > 0
 	}
 	s.ledger.CheckLogs(logs, synchronous)
-	s.mu.Lock()
-	served, total := s.afterFaults[0], s.afterFaults[1]
-	s.mu.Unlock()
-	if total == 0 || float64(served) < minServedRatio*float64(total) {
-		s.ledger.RecordViolation("RECOVER", fmt.Sprintf("%d of %d statements were served after all faults", served, total))
+	for i := range s.Services {
+		s.mu.Lock()
+		served, total := s.afterFaults[serviceName(i)][0], s.afterFaults[serviceName(i)][1]
+		s.mu.Unlock()
+		if total == 0 || float64(served) < minServedRatio*float64(total) {
+			s.ledger.RecordViolation("RECOVER", fmt.Sprintf("%d of %d statements of %s were served after all faults", served, total, serviceName(i)))
+		}
 	}
 	for _, p := range s.proxies {
 		for _, line := range p.crashLines() {
@@ -241,7 +244,7 @@
 }
 
 // recordStatement records the outcome of a statement.
-func (s *Soak) recordStatement(sent time.Time, served bool) {
+func (s *Soak) recordStatement(service string, sent time.Time, served bool) {
 	if s.startedAt.IsZero() {
 		// The run hasn't started: the statement is a readiness check.
 		return
@@ -253,16 +256,18 @@
 	if time.Since(s.startedAt) < s.Plan.Duration-cooldownDuration+recoveryTimeout {
 		return
 	}
-	s.afterFaults[1]++
+	counts := s.afterFaults[service]
+	counts[1]++
 	if served {
-		s.afterFaults[0]++
+		counts[0]++
 	}
+	s.afterFaults[service] = counts
 }
 
 // checkUnanswered checks a statement whose connection ended without an answer. It is a violation if the proxy
 // was told to stop and should have answered within its shutdown grace.
 func (s *Soak) checkUnanswered(c *caller, id, text string, sent, txStartedAt time.Time, cause error) {
-	s.recordStatement(sent, false)
+	s.recordStatement(c.route.service, sent, false)
 	stopped := c.proxy.stopRequestedAt()
 	if stopped.IsZero() || time.Since(stopped) > shutdownGrace+shutdownMargin || !s.faultFreeSince(sent.Add(-settleTime)) {
 		return
