--- a/egretlab/keysim/server_test.go
+++ b/egretlab/keysim/server_test.go
@@ -34,14 +34,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	revision, err := c.CompareAndSwap(ctx, "nodes/a", 0, []byte("one"), lease)
+	revision, err := c.CompareAndSwap(ctx, "nodes/a", egret.Revision{}, []byte("one"), lease)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.CompareAndSwap(ctx, "nodes/a", 0, []byte("two"), 0); !errors.Is(err, egret.ErrConflict) {
+	if _, err := c.CompareAndSwap(ctx, "nodes/a", egret.Revision{}, []byte("two"), egret.StoreLease{}); !errors.Is(err, egret.ErrConflict) {
 		t.Errorf("second writer: %v", err)
 	}
-	if _, err := c.CompareAndSwap(ctx, "servers/a", 0, nil, 0); !errors.Is(err, egret.ErrRefused) {
+	if _, err := c.CompareAndSwap(ctx, "servers/a", egret.Revision{}, nil, egret.StoreLease{}); !errors.Is(err, egret.ErrRefused) {
 		t.Errorf("key of the members: %v", err)
 	}
 	events, _, err := c.Watch(ctx, "nodes/", revision, 2*time.Second)
@@ -65,7 +65,7 @@
 		t.Fatalf("%+v %v", items, err)
 	}
 	s.DropHistory()
-	if _, _, err := c.Watch(t.Context(), "op/", at-1, time.Second); !errors.Is(err, egret.ErrCompacted) {
+	if _, _, err := c.Watch(t.Context(), "op/", egret.Revision{Era: at.Era, Number: at.Number - 1}, time.Second); !errors.Is(err, egret.ErrCompacted) {
 		t.Errorf("watch from before the history: %v", err)
 	}
 	if _, _, err := c.Watch(t.Context(), "op/", at, 10*time.Millisecond); err != nil {
@@ -92,7 +92,7 @@
 			s.SetFault("proxy-1", c.fault)
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			if _, err := client.CompareAndSwap(ctx, "nodes/a", 0, []byte("one"), 0); err == nil {
+			if _, err := client.CompareAndSwap(ctx, "nodes/a", egret.Revision{}, []byte("one"), egret.StoreLease{}); err == nil {
 				t.Error("the write was answered")
 			}
 			s.SetFault("proxy-1", Fault{})
@@ -100,7 +100,7 @@
 				time.Sleep(maxLateWriteDelay)
 			}
 			got, err := client.Read(t.Context(), "nodes/a")
-			if err != nil || (got.Revision != 0) != c.applied {
+			if err != nil || got.Revision.Exists() != c.applied {
 				t.Errorf("%+v %v, want the write applied: %t", got, err, c.applied)
 			}
 		})
@@ -112,7 +112,7 @@
 func TestRestoreBringsBackAnOlderCopy(t *testing.T) {
 	s, c := newStore(t)
 	ctx := t.Context()
-	revision := mustWrite(t, c, 0, "one")
+	revision := mustWrite(t, c, egret.Revision{}, "one")
 	time.Sleep(2 * copyInterval)
 	time.Sleep(2 * copyInterval)
 	lost := mustWrite(t, c, revision, "two")
@@ -124,21 +124,19 @@
 	if item, err := c.Read(ctx, "op/config"); err != nil || string(item.Data) != "new" {
 		t.Errorf("the operator's key is %+v, %v", item, err)
 	}
-	if _, _, err := c.Watch(ctx, "", lost+10, time.Second); !errors.Is(err, egret.ErrCompacted) {
-		t.Errorf("watch from a revision that was lost: %v", err)
+	again := mustWrite(t, c, revision, "three")
+	if again.Era != lost.Era+1 || again.Number > lost.Number+1 {
+		t.Errorf("the next revision is %s, after %s before the restore", again, lost)
 	}
-	if again := mustWrite(t, c, revision, "three"); again > lost+1 {
-		t.Errorf("the next revision is %v, after %v before the restore", again, lost)
-	}
-	if s.Era() != 2 {
-		t.Errorf("era %d", s.Era())
+	if _, _, err := c.Watch(ctx, "", revision, time.Second); !errors.Is(err, egret.ErrCompacted) {
+		t.Errorf("watch from a revision of before the restore: %v", err)
 	}
 }
 
 // mustWrite writes the key "k" and returns its revision.
-func mustWrite(t *testing.T, c *platform.Store, revision uint64, value string) uint64 {
+func mustWrite(t *testing.T, c *platform.Store, revision egret.Revision, value string) egret.Revision {
 	t.Helper()
-	written, err := c.CompareAndSwap(t.Context(), "k", revision, []byte(value), 0)
+	written, err := c.CompareAndSwap(t.Context(), "k", revision, []byte(value), egret.StoreLease{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/lease"
 	"egretlane.example/egret/platform"
+	"egretlane.example/egret/watch"
 )
 
 // The methods below implement link.Host: the node uses them to answer other proxies.
@@ -22,7 +22,7 @@
 func (n *node) Leaving() bool { return n.shuttingDown.Load() }
 
 // GivenUpRevisions returns the revisions at which this process took services that it has since released.
-func (n *node) GivenUpRevisions() []uint64 { return n.fleet.GivenUpRevisions() }
+func (n *node) GivenUpRevisions() []egret.Revision { return n.fleet.GivenUpRevisions() }
 
 // PeerStream returns a stream for statements from another proxy. mayForward allows it to forward them to the holder of
 // the service.
@@ -33,9 +33,8 @@
 	return n.fleet.GrantPromise(service, q)
 }
 
-// Fence refuses further promises to holders before the revision. It returns how long an earlier promise is still
-// in force.
-func (n *node) Fence(service string, revision uint64) (time.Duration, lease.Intent) {
+// Fence refuses further promises to holders before the revision.
+func (n *node) Fence(service string, revision egret.Revision) lease.FenceReply {
 	return n.fleet.Fence(service, revision)
 }
 
@@ -46,7 +45,7 @@
 
 // Changes returns the changes of the store after the revision that this process has seen. It reports false if the
 // process does not know.
-func (n *node) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
+func (n *node) Changes(prefix string, after egret.Revision) (watch.Changes, bool) {
 	switch prefix {
 	case platform.OperatorPrefix:
 		return n.mirror.Operator.ChangesAfter(after)
--- a/egretlane/mirror/mirror.go
+++ b/egretlane/mirror/mirror.go
@@ -66,7 +66,7 @@
 	m.Operator = &watch.Watcher{
 		Keys:   m.Keys,
 		Prefix: platform.OperatorPrefix,
-		Reset: func(items []egret.Item) {
+		Reset: func(items []egret.Item, _ egret.Revision) {
 			for _, item := range items {
 				m.handleOperatorKey(item)
 			}
@@ -76,9 +76,11 @@
 		EventLog:      m.EventLog,
 	}
 	m.Members = &watch.Watcher{
-		Keys:     m.Keys,
-		Prefix:   platform.MembersPrefix,
-		Reset:    m.resetMembers,
+		Keys:   m.Keys,
+		Prefix: platform.MembersPrefix,
+		Reset: func(items []egret.Item, _ egret.Revision) {
+			m.resetMembers(items)
+		},
 		Change:   m.changeMember,
 		EventLog: m.EventLog,
 	}
@@ -237,7 +239,7 @@
 	}
 	b, err := platform.DecodeMember(item.Key, item.Data)
 	if err != nil {
-		m.EventLog.Event("member-unreadable").Str("key", item.Key).Uint64("revision", item.Revision).Err(err).Msg("cannot decode the entry of a member; the member is ignored")
+		m.EventLog.Event("member-unreadable").Str("key", item.Key).Str("revision", item.Revision.String()).Err(err).Msg("cannot decode the entry of a member; the member is ignored")
 		return egret.Backend{}, false
 	}
 	return b, true
--- a/egretlane/mirror/mirror_test.go
+++ b/egretlane/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/platform"
+	"egretlane.example/egret/watch"
 )
 
 func newMirror(keys egret.Keyspace) *Mirror {
@@ -30,15 +31,15 @@
 		c.handleOperatorKey(egret.Item{
 			Key:      platform.ConfigKey,
 			Data:     []byte(fmt.Sprintf(`{"version":%d}`, version)),
-			Revision: 1,
+			Revision: egret.Revision{Number: 1},
 		})
 	}
 	if got := fmt.Sprint(versions); got != "[3 7 9]" {
 		t.Errorf("applied revisions %s, want [3 7 9]", got)
 	}
-	c.handleOperatorKey(egret.Item{Key: platform.ConfigKey, Data: []byte("{"), Revision: 2})
-	c.handleOperatorKey(egret.Item{Key: platform.ConfigKey, Removed: true, Revision: 3})
-	c.handleOperatorKey(egret.Item{Key: platform.OperatorPrefix + "other", Data: []byte(`{"version":99}`), Revision: 4})
+	c.handleOperatorKey(egret.Item{Key: platform.ConfigKey, Data: []byte("{"), Revision: egret.Revision{Number: 2}})
+	c.handleOperatorKey(egret.Item{Key: platform.ConfigKey, Removed: true, Revision: egret.Revision{Number: 3}})
+	c.handleOperatorKey(egret.Item{Key: platform.OperatorPrefix + "other", Data: []byte(`{"version":99}`), Revision: egret.Revision{Number: 4}})
 	if current := c.Tables(); current.Revision != 9 {
 		t.Errorf("current revision %d, want 9", current.Revision)
 	}
@@ -50,10 +51,10 @@
 	c.OnMembersChanged = func(string, []egret.Backend) {}
 	entry := `{"service":"s","address":"10.0.0.1:80","capacity":2,"state":"ready","db_role":"primary","zone":"z"}`
 	c.resetMembers([]egret.Item{
-		{Key: "servers/a", Data: []byte(entry), Revision: 1},
-		{Key: "servers/b", Data: []byte(entry), Revision: 2},
+		{Key: "servers/a", Data: []byte(entry), Revision: egret.Revision{Number: 1}},
+		{Key: "servers/b", Data: []byte(entry), Revision: egret.Revision{Number: 2}},
 	})
-	c.changeMember(egret.Item{Key: "servers/a", Data: []byte("\x00"), Revision: 3})
+	c.changeMember(egret.Item{Key: "servers/a", Data: []byte("\x00"), Revision: egret.Revision{Number: 3}})
 	if members := c.MembersOf("s"); len(members) != 1 || members[0].ID != "b" {
 		t.Errorf("members %v, want only b", members)
 	}
@@ -68,12 +69,12 @@
 	members []egret.Item
 }
 
-func (k *cutKeys) List(context.Context, string) ([]egret.Item, uint64, error) {
-	return k.members, 5, nil
+func (k *cutKeys) List(context.Context, string) ([]egret.Item, egret.Revision, error) {
+	return k.members, egret.Revision{Number: 5}, nil
 }
 
-func (k *cutKeys) Watch(context.Context, string, uint64, time.Duration) ([]egret.Item, uint64, error) {
-	return nil, 0, errors.New("refused")
+func (k *cutKeys) Watch(context.Context, string, egret.Revision, time.Duration) ([]egret.Item, egret.Revision, error) {
+	return nil, egret.Revision{}, errors.New("refused")
 }
 
 // TestLeavingMemberIsKnownWithoutTheStore lets the store refuse a holder's calls while a member reports that it leaves.
@@ -84,15 +85,18 @@
 		return egret.Item{
 			Key:      platform.MembersPrefix + "a",
 			Data:     fmt.Appendf(nil, entry, state),
-			Revision: revision,
+			Revision: egret.Revision{Number: revision},
 		}
 	}
 	c := newMirror(&cutKeys{members: []egret.Item{member("ready", 3)}})
-	c.Members.ChangesFromPeer = func(_ context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
-		if prefix != platform.MembersPrefix || after < 5 {
-			t.Errorf("asked for changes of %q after %d", prefix, after)
+	c.Members.ChangesFromPeer = func(_ context.Context, prefix string, after egret.Revision) (watch.Changes, bool) {
+		if prefix != platform.MembersPrefix || after.Number < 5 {
+			t.Errorf("asked for changes of %q after %s", prefix, after)
 		}
-		return []egret.Item{member("draining", 6)}, 6, true
+		return watch.Changes{
+			Items: []egret.Item{member("draining", 6)},
+			At:    egret.Revision{Number: 6},
+		}, true
 	}
 	leaving := make(chan bool, 1)
 	c.OnMembersChanged = func(_ string, members []egret.Backend) {
@@ -125,7 +129,7 @@
 		items = append(items, egret.Item{
 			Key:      fmt.Sprintf("servers/m%d", i),
 			Data:     []byte(fmt.Sprintf(entry, i%200)),
-			Revision: uint64(i + 1),
+			Revision: egret.Revision{Number: uint64(i + 1)},
 		})
 	}
 	c.resetMembers(items)
@@ -135,11 +139,11 @@
 	if allocations := testing.AllocsPerRun(20, func() { c.PrimaryDomain("s7") }); allocations != 0 {
 		t.Errorf("%.0f allocations for the lookup of a primary's domain, want 0", allocations)
 	}
-	c.changeMember(egret.Item{Key: "servers/m7", Data: []byte(fmt.Sprintf(entry, 8)), Revision: 1000})
+	c.changeMember(egret.Item{Key: "servers/m7", Data: []byte(fmt.Sprintf(entry, 8)), Revision: egret.Revision{Number: 1000}})
 	if a, b := len(c.MembersOf("s7")), len(c.MembersOf("s8")); a != 2 || b != 4 {
 		t.Errorf("%d members of s7 and %d of s8 after one moved from s7 to s8, want 2 and 4", a, b)
 	}
-	c.changeMember(egret.Item{Key: "servers/m7", Removed: true, Revision: 1001})
+	c.changeMember(egret.Item{Key: "servers/m7", Removed: true, Revision: egret.Revision{Number: 1001}})
 	if n := len(c.MembersOf("s8")); n != 3 {
 		t.Errorf("%d members of s8 after one was removed, want 3", n)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -73,6 +72,9 @@
 	// runCtx is canceled when Run returns.
 	runCtx context.Context
 
+	// listedAgain wakes keepRegistered, as a list of all keys may show that the registration of this process is lost.
+	listedAgain chan struct{}
+
 	// watch watches the fleet's keys in the store.
 	watch *watch.Watcher
 
@@ -95,9 +97,9 @@
 	lanes  map[string]*group.Lane
 
 	// records has the newest item of each holder's record, by service. It includes services that are
-	// not configured yet. listed is set once all keys have been listed.
-	records map[string]egret.Item
-	listed  bool
+	// not configured yet. listedAt is the revision at which all keys were listed last, or zero if they never were.
+	records  map[string]egret.Item
+	listedAt egret.Revision
 
 	// indirectRoutes has, by the address of a holder that this process may not reach, a proxy that
 	// reaches it.
@@ -108,7 +110,7 @@
 	indirectProbes map[netip.AddrPort]bool
 
 	// givenUp has the revisions of the leases that their holders have reported as ended.
-	givenUp map[uint64]bool
+	givenUp map[egret.Revision]bool
 
 	// claims has the times at which MayAcquire allowed this process to acquire services.
 	claims map[string]clock.Time
@@ -138,13 +140,14 @@
 // Init prepares the fleet. It must be called once, before any other method.
 func (f *Fleet) Init() {
 	f.leaveStarted = make(chan struct{})
+	f.listedAgain = make(chan struct{}, 1)
 	f.nodes = map[string]Node{}
 	f.leases = map[string]*lease.Lease{}
 	f.lanes = map[string]*group.Lane{}
 	f.records = map[string]egret.Item{}
 	f.indirectRoutes = map[netip.AddrPort]indirectRoute{}
 	f.indirectProbes = map[netip.AddrPort]bool{}
-	f.givenUp = map[uint64]bool{}
+	f.givenUp = map[egret.Revision]bool{}
 	f.claims = map[string]clock.Time{}
 	f.movedPingAt = map[netip.AddrPort]clock.Time{}
 }
@@ -223,8 +226,8 @@
 	if f.leaving {
 		l.DisableAcquisition()
 	}
-	if f.listed {
-		l.Observe(f.records[service])
+	if f.listedAt != (egret.Revision{}) {
+		l.Observe(f.recordItem(service))
 	}
 	f.leases[service] = l
 	if f.runCtx != nil {
@@ -272,26 +275,40 @@
 	return f.leases[service]
 }
 
+// recordItem returns the newest item of the record of a service, or one without a number if the store has none. The caller
+// holds mu.
+func (f *Fleet) recordItem(service string) egret.Item {
+	if item, found := f.records[service]; found {
+		return item
+	}
+	return egret.Item{
+		Revision: egret.Revision{Era: f.listedAt.Era},
+	}
+}
+
 // applySnapshot replaces what is known of the fleet by a full list of its keys.
-func (f *Fleet) applySnapshot(items []egret.Item) {
+func (f *Fleet) applySnapshot(items []egret.Item, at egret.Revision) {
 	f.mu.Lock()
 	clear(f.nodes)
 	clear(f.records)
 	f.largest = Capacity{}
-	f.listed = true
+	f.listedAt = at
 	f.mu.Unlock()
 	for _, item := range items {
 		f.applyItem(item)
 	}
 	for _, l := range f.allLeases() {
 		f.mu.Lock()
-		item, found := f.records[l.Service]
+		item := f.recordItem(l.Service)
 		f.mu.Unlock()
-		if !found {
-			// The service has no record in the store. The zero item tells the Lease so.
+		if !item.Revision.Exists() {
 			l.Observe(item)
 		}
 	}
+	select {
+	case f.listedAgain <- struct{}{}:
+	default:
+	}
 }
 
 // applyItem applies the change of one key of the fleet.
@@ -386,14 +403,15 @@
 	return l != nil && l.GrantPromise(q)
 }
 
-// Fence refuses further promises to holders of a service whose records are older than the revision. It
-// returns how long an earlier promise is still in force, and the newest primary that came with one.
-func (f *Fleet) Fence(service string, revision uint64) (time.Duration, lease.Intent) {
+// Fence refuses further promises to holders of a service whose records are older than the revision.
+func (f *Fleet) Fence(service string, revision egret.Revision) lease.FenceReply {
 	l := f.Lease(service)
 	if l == nil {
 		// Without the service's configuration, this process has given no promise since it started. A
 		// promise that an earlier run gave may still be in force.
-		return lease.PromiseDuration, lease.Intent{}
+		return lease.FenceReply{
+			Remaining: lease.PromiseDuration,
+		}
 	}
 	return l.Fence(revision)
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -29,7 +29,7 @@
 	t.Cleanup(f.Pool.Close)
 	f.Init()
 	f.Configure([]string{"s"})
-	f.applySnapshot(holderItems(t, 5, lease.Record{Node: "other", Incarnation: "1", Address: holder}))
+	f.applySnapshot(holderItems(t, 5, lease.Record{Node: "other", Incarnation: "1", Address: holder}), egret.Revision{Number: 5})
 	return f
 }
 
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return []egret.Item{{Key: lease.Prefix + "s", Data: data, Revision: revision}}
+	return []egret.Item{{Key: lease.Prefix + "s", Data: data, Revision: egret.Revision{Number: revision}}}
 }
 
 func readRequest() egret.StatementRequest {
@@ -96,7 +96,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.applyItem(egret.Item{Key: nodesPrefix + id, Data: data, Revision: 9})
+		f.applyItem(egret.Item{Key: nodesPrefix + id, Data: data, Revision: egret.Revision{Number: 9}})
 	}
 	add("far", "elsewhere")
 	if rank := f.Rank("t", 99); rank != 0 {
@@ -106,7 +106,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.applyItem(egret.Item{Key: lease.Prefix + "s", Data: data, Revision: 10})
+	f.applyItem(egret.Item{Key: lease.Prefix + "s", Data: data, Revision: egret.Revision{Number: 10}})
 	if rank := f.Rank("t", 99); rank != 1 {
 		t.Errorf("rank %d while holding another service, want 1", rank)
 	}
@@ -123,7 +123,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		item := egret.Item{Key: nodesPrefix + id, Data: data, Revision: 9}
+		item := egret.Item{Key: nodesPrefix + id, Data: data, Revision: egret.Revision{Number: 9}}
 		f.applyItem(item)
 		g.applyItem(item)
 	}
@@ -154,16 +154,16 @@
 	return k.item, nil
 }
 
-func (k *recordKeys) CompareAndSwap(_ context.Context, key string, revision uint64, data []byte, _ egret.LeaseID) (uint64, error) {
+func (k *recordKeys) CompareAndSwap(_ context.Context, key string, revision egret.Revision, data []byte, _ egret.StoreLease) (egret.Revision, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.item.Revision != revision {
-		return 0, egret.ErrConflict
+		return egret.Revision{}, egret.ErrConflict
 	}
 	k.item = egret.Item{
 		Key:      key,
 		Data:     data,
-		Revision: revision + 1,
+		Revision: egret.Revision{Number: revision.Number + 1},
 	}
 	return k.item.Revision, nil
 }
@@ -183,7 +183,7 @@
 	f.Configure([]string{"s"})
 	l := f.Lease("s")
 	l.Keys = f.Keys
-	f.applySnapshot(items)
+	f.applySnapshot(items, egret.Revision{Number: 5})
 	_, _ = f.Pool.Ping(t.Context(), closedAddress)
 	go func() { _ = l.Run(t.Context()) }()
 	for deadline := time.Now().Add(5 * time.Second); l.AwaitsUnreachable() == 0; time.Sleep(5 * time.Millisecond) {
--- a/fleet/isolation_test.go
+++ b/fleet/isolation_test.go
@@ -60,13 +60,13 @@
 	if _, lost := f.Reachability(); lost != 0 {
 		t.Errorf("%d services are lost, want 0: the store answers", lost)
 	}
-	f.givenUp[6] = true
+	f.givenUp[egret.Revision{Number: 6}] = true
 	f.storeDownSince.Store(int64(clock.Now().Add(-2 * failFastAfter)))
-	f.applySnapshot(holderItems(t, 6, lease.Record{Node: "third", Incarnation: "1", Address: netip.MustParseAddrPort("127.0.0.1:3")}))
+	f.applySnapshot(holderItems(t, 6, lease.Record{Node: "third", Incarnation: "1", Address: netip.MustParseAddrPort("127.0.0.1:3")}), egret.Revision{Number: 6})
 	if _, lost := f.Reachability(); lost != 1 {
 		t.Errorf("%d services are lost, want 1: the holder has given up and the store doesn't answer", lost)
 	}
-	f.applySnapshot(holderItems(t, 7, lease.Record{Node: f.Self.ID, Incarnation: f.Self.Incarnation, Address: f.Self.Address}))
+	f.applySnapshot(holderItems(t, 7, lease.Record{Node: f.Self.ID, Incarnation: f.Self.Incarnation, Address: f.Self.Address}), egret.Revision{Number: 7})
 	if _, lost := f.Reachability(); lost != 1 {
 		t.Errorf("%d services are lost, want 1: this process's lease has expired and the store doesn't answer", lost)
 	}
@@ -76,7 +76,7 @@
 // callers at once, and answers other proxies with FaultNotHolder, so that they learn that it gave up.
 func TestExpiredHolderRedirectsPeers(t *testing.T) {
 	f := newFleet(t, closedAddress)
-	f.applySnapshot(holderItems(t, 7, lease.Record{Node: f.Self.ID, Incarnation: f.Self.Incarnation, Address: f.Self.Address}))
+	f.applySnapshot(holderItems(t, 7, lease.Record{Node: f.Self.ID, Incarnation: f.Self.Incarnation, Address: f.Self.Address}), egret.Revision{Number: 7})
 	f.storeDownSince.Store(int64(clock.Now().Add(-2 * failFastAfter)))
 	began := time.Now()
 	if a := f.CallerStream().Do(t.Context(), readRequest()); a.Fault.Kind != egret.FaultBusy {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/lease"
 )
@@ -150,7 +151,7 @@
 	p.largest = f.largest
 	f.mu.Unlock()
 	if l := f.Lease(service); l != nil {
-		if s, known := l.LatestRecord(); known && s.Revision != 0 && !s.Record.Released {
+		if s, known := l.LatestRecord(); known && s.Stored.Exists() && !s.Record.Released {
 			p.holder = s.Record.Node
 		}
 	}
@@ -173,7 +174,7 @@
 	counts = map[string]int{}
 	for _, l := range f.allLeases() {
 		s, known := l.LatestRecord()
-		if known && s.Revision != 0 && !s.Record.Released {
+		if known && s.Stored.Exists() && !s.Record.Released {
 			counts[s.Record.Node]++
 		}
 	}
@@ -240,7 +241,7 @@
 // Responds reports whether the process answers a ping now, or has answered another proxy lately.
 func (f *Fleet) Responds(ctx context.Context, r lease.Record) bool {
 	reply, err := f.Pool.PingFreshConn(ctx, r.Address, holderPingInterval)
-	if err == nil && reply.GetIncarnation() == r.Incarnation {
+	if err == nil && reply.Incarnation == r.Incarnation {
 		return true
 	}
 	_, reachable := f.indirectRoute(r.Address)
@@ -254,7 +255,7 @@
 		return false
 	}
 	reply, err := f.Pool.Ping(ctx, r.Address)
-	return err == nil && reply.GetIncarnation() != r.Incarnation
+	return err == nil && reply.Incarnation != r.Incarnation
 }
 
 // indirectRoute returns a proxy that reaches the one at the address, if there is a valid confirmation.
@@ -311,7 +312,7 @@
 // PingPeer pings the proxy at the address and returns its incarnation.
 func (f *Fleet) PingPeer(ctx context.Context, a netip.AddrPort) (string, error) {
 	reply, err := f.Pool.Ping(ctx, a)
-	return reply.GetIncarnation(), err
+	return reply.Incarnation, err
 }
 
 // runHolderPings pings the holders of the services that this process would take over, and forgets proxies
@@ -339,7 +340,7 @@
 func (f *Fleet) pingHolders(ctx context.Context) {
 	for _, l := range f.allLeases() {
 		s, known := l.LatestRecord()
-		if !known || s.Revision == 0 || s.Record.Node == f.Self.ID {
+		if !known || !s.Stored.Exists() || s.Record.Node == f.Self.ID {
 			continue
 		}
 		lastAnswer, unansweredSince := f.Pool.Liveness(s.Record.Address)
@@ -367,12 +368,12 @@
 // whether it answers.
 func (f *Fleet) pingHolder(ctx context.Context, a netip.AddrPort) {
 	reply, err := f.Pool.Ping(ctx, a)
-	if err != nil || len(reply.GetGivenUp()) == 0 {
+	if err != nil || len(reply.GivenUp) == 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, revision := range reply.GetGivenUp() {
+	for _, revision := range reply.GivenUp {
 		f.givenUp[revision] = true
 	}
 	for _, l := range f.leases {
@@ -382,17 +383,17 @@
 
 // GaveUp reports whether the holder whose record has the revision has reported that its lease on
 // the service has ended.
-func (f *Fleet) GaveUp(revision uint64) bool {
+func (f *Fleet) GaveUp(revision egret.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.givenUp[revision]
 }
 
 // GivenUpRevisions returns the revisions of the leases of this process that have ended.
-func (f *Fleet) GivenUpRevisions() []uint64 {
-	revisions := []uint64{}
+func (f *Fleet) GivenUpRevisions() []egret.Revision {
+	revisions := []egret.Revision{}
 	for _, l := range f.allLeases() {
-		if r := l.GivenUpRevision(); r != 0 {
+		if r := l.GivenUpRevision(); r.Exists() {
 			revisions = append(revisions, r)
 		}
 	}
@@ -436,13 +437,31 @@
 	return voters
 }
 
+// Everyone returns this process and all registered ones.
+func (f *Fleet) Everyone() []lease.Voter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := []lease.Voter{{
+		Node:    f.Self.ID,
+		Address: f.Self.Address,
+	}}
+	for _, n := range f.nodes {
+		if n.ID != f.Self.ID {
+			all = append(all, lease.Voter{
+				Node:    n.ID,
+				Address: n.Address,
+			})
+		}
+	}
+	return all
+}
+
 // RequestPromise asks a voter for a promise, and reports whether it was given.
 func (f *Fleet) RequestPromise(ctx context.Context, v lease.Voter, service string, q lease.Promise) (bool, error) {
 	return f.Pool.RequestPromise(ctx, v.Address, service, q)
 }
 
-// RequestFence asks a voter to refuse further promises to holders whose records are older than the revision. It
-// returns how long an earlier promise is still in force, and the newest primary that came with one.
-func (f *Fleet) RequestFence(ctx context.Context, v lease.Voter, service string, revision uint64) (time.Duration, lease.Intent, error) {
+// RequestFence asks a voter to refuse further promises to holders whose records are older than the revision.
+func (f *Fleet) RequestFence(ctx context.Context, v lease.Voter, service string, revision egret.Revision) (lease.FenceReply, error) {
 	return f.Pool.RequestFence(ctx, v.Address, service, revision)
 }
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		items = append(items, egret.Item{Key: key, Data: data, Revision: uint64(len(items) + 1)})
+		items = append(items, egret.Item{Key: key, Data: data, Revision: egret.Revision{Number: uint64(len(items) + 1)}})
 	}
 	for i := range nodes {
 		n := Node{ID: fmt.Sprintf("n%d", i), Domain: fmt.Sprintf("d%d", i%3), Region: "r", Address: netip.MustParseAddrPort("127.0.0.1:1")}
@@ -42,7 +42,7 @@
 		add(lease.Prefix+names[i], lease.Record{Node: fmt.Sprintf("n%d", i%7), Incarnation: "1"})
 	}
 	f.Configure(names)
-	f.applySnapshot(items)
+	f.applySnapshot(items, egret.Revision{Number: 1})
 	return f
 }
 
@@ -115,7 +115,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.applyItem(egret.Item{Key: lease.Prefix + "s0", Data: data, Revision: 1000})
+	f.applyItem(egret.Item{Key: lease.Prefix + "s0", Data: data, Revision: egret.Revision{Number: 1000}})
 	if now := f.serviceCounts()["n4"]; now != before+1 {
 		t.Errorf("n4 holds %d services, want %d", now, before+1)
 	}
@@ -148,7 +148,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.applyItem(egret.Item{Key: nodesPrefix + n.ID, Data: data, Revision: 100})
+		f.applyItem(egret.Item{Key: nodesPrefix + n.ID, Data: data, Revision: egret.Revision{Number: 100}})
 	}
 	held := map[string]int{}
 	for i := range 8 {
@@ -161,7 +161,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.applyItem(egret.Item{Key: lease.Prefix + service, Data: data, Revision: uint64(200 + i)})
+		f.applyItem(egret.Item{Key: lease.Prefix + service, Data: data, Revision: egret.Revision{Number: uint64(200 + i)}})
 	}
 	for id, count := range held {
 		if f.nodes[id].Capacity.Cores < 0.8 || count != 2 {
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -34,14 +34,14 @@
 	if err != nil {
 		return err
 	}
-	storeLease := egret.LeaseID(0)
+	storeLease := egret.StoreLease{}
 	retryDelay := retryInterval
 	for ctx.Err() == nil && !f.Leaving() {
 		delay := renewInterval
-		if storeLease != 0 {
+		if storeLease != (egret.StoreLease{}) {
 			err = f.Keys.Renew(ctx, storeLease)
 		}
-		if storeLease == 0 || errors.Is(err, egret.ErrLeaseExpired) || !f.registered() {
+		if storeLease == (egret.StoreLease{}) || errors.Is(err, egret.ErrLeaseExpired) || !f.registered() {
 			storeLease, err = f.writeRegistration(ctx, data)
 		}
 		if err != nil {
@@ -53,10 +53,12 @@
 		select {
 		case <-ctx.Done():
 		case <-f.leaveStarted:
+		case <-f.listedAgain:
 		case <-time.After(delay):
 		}
 	}
-	if storeLease != 0 {
+	// After a restore of the store, the ID of the lease may belong to another process.
+	if storeLease != (egret.StoreLease{}) && storeLease.Era == f.era() {
 		ctx, cancel := context.WithTimeout(context.Background(), retryInterval)
 		defer cancel()
 		// If the call fails, the store lease expires.
@@ -73,25 +75,32 @@
 	return found && n.Incarnation == f.Self.Incarnation
 }
 
+// era returns the era of the store, as last seen by the watch.
+func (f *Fleet) era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listedAt.Era
+}
+
 // writeRegistration writes the registration under a new store lease and returns that.
-func (f *Fleet) writeRegistration(ctx context.Context, data []byte) (egret.LeaseID, error) {
+func (f *Fleet) writeRegistration(ctx context.Context, data []byte) (egret.StoreLease, error) {
 	storeLease, err := f.Keys.Grant(ctx, registrationTTL)
 	if err != nil {
-		return 0, err
+		return egret.StoreLease{}, err
 	}
 	key := nodesPrefix + f.Self.ID
-	_, err = f.Keys.CompareAndSwap(ctx, key, 0, data, storeLease)
+	_, err = f.Keys.CompareAndSwap(ctx, key, egret.Revision{}, data, storeLease)
 	if errors.Is(err, egret.ErrConflict) {
 		// The registration of an earlier process of this node has not expired yet.
 		item, readErr := f.Keys.Read(ctx, key)
 		if readErr != nil {
-			return 0, readErr
+			return egret.StoreLease{}, readErr
 		}
 		_, err = f.Keys.CompareAndSwap(ctx, key, item.Revision, data, storeLease)
 	}
-	f.EventLog.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(storeLease)).Err(err).Msg("tried to register this process")
+	f.EventLog.Event("registered").Str("node", f.Self.ID).Uint64("lease", uint64(storeLease.ID)).Err(err).Msg("tried to register this process")
 	if err != nil {
-		return 0, err
+		return egret.StoreLease{}, err
 	}
 	return storeLease, nil
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/watch"
 )
 
 const (
@@ -55,40 +56,40 @@
 }
 
 // ChangesFromPeer asks an observer other than this process for the changes below the prefix after the revision. It
-// returns them with the revision to go on from, and reports false if the observer can't tell.
-func (f *Fleet) ChangesFromPeer(ctx context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+// reports false if the observer can't tell.
+func (f *Fleet) ChangesFromPeer(ctx context.Context, prefix string, after egret.Revision) (watch.Changes, bool) {
 	others := slices.DeleteFunc(f.observers(), func(n Node) bool { return n.ID == f.Self.ID })
 	if len(others) == 0 {
-		return nil, 0, false
+		return watch.Changes{}, false
 	}
 	return f.Pool.Changes(ctx, others[rand.IntN(len(others))].Address, prefix, after)
 }
 
 // ChangesFromHolder is like ChangesFromPeer, but asks another process that holds a service. Holders watch the members,
 // which observers don't.
-func (f *Fleet) ChangesFromHolder(ctx context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+func (f *Fleet) ChangesFromHolder(ctx context.Context, prefix string, after egret.Revision) (watch.Changes, bool) {
 	holders := map[netip.AddrPort]bool{}
 	for _, l := range f.allLeases() {
 		s, known := l.LatestRecord()
-		if known && s.Revision != 0 && !s.Record.Released && s.Record.Node != f.Self.ID {
+		if known && s.Stored.Exists() && !s.Record.Released && s.Record.Node != f.Self.ID {
 			holders[s.Record.Address] = true
 		}
 	}
 	if len(holders) == 0 {
-		return nil, 0, false
+		return watch.Changes{}, false
 	}
 	others := slices.Collect(maps.Keys(holders))
 	return f.Pool.Changes(ctx, others[rand.IntN(len(others))], prefix, after)
 }
 
-// Changes returns the changes of the fleet's keys that this process has seen after the revision, and the
-// revision to go on from. It reports false if it can't tell them, or if the prefix is another one.
-func (f *Fleet) Changes(prefix string, after uint64) ([]egret.Item, uint64, bool) {
+// Changes returns the changes of the fleet's keys that this process has seen after the revision. It reports false if it
+// can't tell them, or if the prefix is another one.
+func (f *Fleet) Changes(prefix string, after egret.Revision) (watch.Changes, bool) {
 	f.mu.Lock()
 	w := f.watch
 	f.mu.Unlock()
 	if prefix != keysPrefix || w == nil {
-		return nil, 0, false
+		return watch.Changes{}, false
 	}
 	return w.ChangesAfter(after)
 }
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -80,7 +80,7 @@
 		return target{}
 	}
 	s, known := l.LatestRecord()
-	if !known || s.Revision == 0 || s.Record.Released || s.Record.Node == f.Self.ID {
+	if !known || !s.Stored.Exists() || s.Record.Released || s.Record.Node == f.Self.ID {
 		return target{}
 	}
 	if _, unansweredSince := f.Pool.Liveness(s.Record.Address); r.mayRouteIndirectly && unansweredSince != 0 &&
@@ -181,7 +181,7 @@
 	}
 	s, known := l.LatestRecord()
 	switch {
-	case !known || s.Revision == 0:
+	case !known || !s.Stored.Exists():
 		return ""
 	case s.Record.Node == f.Self.ID && !l.Acquired():
 		return "this process has lost its right to the service, and the store gives no answer to renew it"
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -61,12 +61,33 @@
 	latest, known, changedAt := l.latest, l.latestKnown, l.latestChangedAt
 	promised := clock.Now() < l.voter.promisedUntil
 	disabled := l.acquisitionDisabled
+	restored := l.mayHaveLostRecords()
 	l.mu.Unlock()
+	if !known || disabled {
+		return cause{}
+	}
+	why := l.causeOf(latest, changedAt, promised)
+	if !restored {
+		return why
+	}
+	// A holder that this process doesn't know may use the service. It has time to write its record again, and its lease
+	// is waited for.
+	if promised {
+		return cause{}
+	}
+	why.holderStopped = false
+	why.delay = max(why.delay, missingRecordDelay)
+	if why.since < changedAt {
+		why.since = changedAt
+	}
+	return why
+}
+
+// causeOf returns the cause to acquire the lease if the record is the newest, or one without a name.
+func (l *Lease) causeOf(latest VersionedRecord, changedAt clock.Time, promised bool) cause {
 	r := latest.Record
 	switch {
-	case !known || disabled:
-		return cause{}
-	case latest.Revision != 0 && r.Released:
+	case latest.Stored.Exists() && r.Released:
 		released := cause{
 			name:          "released",
 			holderStopped: true,
@@ -77,7 +98,7 @@
 			released.delay = successorHeadStart
 		}
 		return released
-	case latest.Revision != 0 && r.Address == l.Self.Address:
+	case latest.Stored.Exists() && r.Address == l.Self.Address:
 		// No two processes listen at one address, so the holder in the record is an earlier run of this process
 		// that has terminated, or it is this run, whose lease has ended.
 		return cause{
@@ -85,7 +106,7 @@
 			holderStopped: true,
 			preferred:     true,
 		}
-	case latest.Revision != 0 && l.Peers.GaveUp(latest.Revision):
+	case latest.Stored.Exists() && l.Peers.GaveUp(latest.Revision):
 		return cause{
 			name:          "holder gave up",
 			holderStopped: true,
@@ -93,7 +114,7 @@
 		}
 	case promised:
 		return cause{}
-	case latest.Revision == 0:
+	case !latest.Stored.Exists():
 		return cause{
 			name:  "no holder",
 			delay: missingRecordDelay,
@@ -120,32 +141,29 @@
 		return
 	}
 	l.mu.Lock()
-	former := l.latest
+	former, restored := l.latest, l.mayHaveLostRecords()
 	record := l.ownRecord()
-	l.uncertainWrite = former.Revision + 1
 	l.mu.Unlock()
 	record.Voters = l.Peers.Voters()
 	record.Awaits = slices.Clone(former.Record.Awaits)
-	first := l.Bootstrap && former.Revision == 0 && former.Record.Node == ""
+	record.AwaitsUnknown = former.Record.AwaitsUnknown || restored
+	first := l.Bootstrap && !former.Stored.Exists() && former.Record.Node == "" && !restored
 	awaitFormer := !why.holderStopped && !first
 	if awaitFormer {
 		record.Awaits = append(record.Awaits, former.Record.Voters)
 	}
-	revision, err := l.writeRecord(ctx, former.Revision, record)
+	revision, err := l.writeRecord(ctx, former.Stored, record)
 	l.EventLog.Event("service-claimed").Str("service", l.Service).Str("cause", why.name).Str("former", former.Record.Node).
-		Uint64("before", former.Revision).Uint64("revision", revision).Bool("stopped", why.holderStopped).Err(err).Msg("tried to acquire the lease on the service")
+		Str("before", former.Stored.String()).Str("revision", revision.String()).Bool("stopped", why.holderStopped).
+		Bool("unknown", record.AwaitsUnknown).Err(err).Msg("tried to acquire the lease on the service")
 	switch {
 	case err == nil:
 	case errors.Is(err, egret.ErrRefused):
-		l.clearUncertainWrite()
 		l.sleep(ctx, jitter(renewInterval))
 		return
 	default:
-		if errors.Is(err, egret.ErrConflict) {
-			l.clearUncertainWrite()
-		}
 		stored := l.readBack(ctx)
-		if stored.Revision == 0 {
+		if !stored.Revision.Exists() {
 			l.sleep(ctx, jitter(renewInterval))
 			return
 		}
@@ -153,22 +171,18 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.uncertainWrite = 0
-	l.givenUpRevision = 0
-	l.latest = VersionedRecord{
-		Record:   record,
-		Revision: revision,
-	}
-	l.latestKnown = true
+	l.givenUpRevision = egret.Revision{}
+	l.setHeld(revision, record)
 	l.latestChangedAt = clock.Now()
-	l.heldRevision, l.token = revision, revision
+	l.token = revision.Token()
 	l.replaced = former
 	l.validUntil = 0
 	l.awaitedVoters, l.replacedAwaited = slices.Clone(record.Awaits), awaitFormer
+	l.awaitsUnknown = record.AwaitsUnknown
 	l.votersUnreachable = false
 	l.acquiredAt = clock.Now()
 	l.usableFrom = clock.Now()
-	if !why.holderStopped || len(l.awaitedVoters) > 0 {
+	if !why.holderStopped || len(l.awaitedVoters) > 0 || l.awaitsUnknown {
 		l.usableFrom = l.usableFrom.Add(leaseTTL + clockDriftMargin)
 	}
 }
@@ -185,19 +199,13 @@
 	l.mu.Lock()
 	latest := l.latest
 	l.mu.Unlock()
-	if item.Revision != latest.Revision {
+	if item.Revision != latest.Stored {
 		l.Observe(item)
 		return false
 	}
 	return !l.Peers.Responds(ctx, latest.Record)
 }
 
-func (l *Lease) clearUncertainWrite() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.uncertainWrite = 0
-}
-
 // readBack reads the key after a write of unknown outcome, and returns its record if it names this process, else
 // the zero value. The record may come from an earlier write whose response was lost.
 func (l *Lease) readBack(ctx context.Context) VersionedRecord {
@@ -206,30 +214,26 @@
 		return VersionedRecord{}
 	}
 	v, err := decodeRecord(item)
-	if err == nil && v.Revision != 0 && l.isOwn(v.Record) && !v.Record.Released && v.Revision > l.latestRevision() {
-		return v
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if v.Revision == 0 || v.Revision > l.latest.Revision {
-		l.observe(v)
+	if l.outdated(item) {
+		return VersionedRecord{}
 	}
+	if err == nil && v.Stored.Exists() && !v.restored() && l.isOwn(v.Record) && !v.Record.Released {
+		return v
+	}
+	l.observe(v)
 	return VersionedRecord{}
 }
 
-func (l *Lease) latestRevision() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.latest.Revision
-}
-
 // formerMayBeValid reports whether the lease of a former holder may still be valid. It advances the wait for
 // that: it checks whether the former holder has stopped, and else asks voters to refuse promises to it.
 func (l *Lease) formerMayBeValid(ctx context.Context) bool {
 	l.mu.Lock()
-	remaining, replaced, awaited, lists := clock.Until(l.usableFrom), l.replaced, l.replacedAwaited, len(l.awaitedVoters)
+	remaining, replaced, awaited := clock.Until(l.usableFrom), l.replaced, l.replacedAwaited
+	fences := len(l.awaitedVoters) > 0 || l.awaitsUnknown
 	l.mu.Unlock()
-	if remaining <= 0 && lists == 0 {
+	if remaining <= 0 && !fences {
 		return false
 	}
 	if awaited && l.Peers.Stopped(ctx, replaced.Record) {
@@ -237,7 +241,7 @@
 		l.dropReplaced()
 		return true
 	}
-	if lists > 0 {
+	if fences {
 		l.fenceFormerHolders(ctx)
 	}
 	return true
@@ -252,7 +256,7 @@
 		l.awaitedVoters = l.awaitedVoters[:n-1]
 	}
 	l.replacedAwaited, l.votersUnreachable = false, false
-	if len(l.awaitedVoters) == 0 {
+	if len(l.awaitedVoters) == 0 && !l.awaitsUnknown {
 		l.usableFrom = clock.Now()
 	}
 }
@@ -268,26 +272,36 @@
 		return false
 	}
 	v, err := decodeRecord(item)
-	if err != nil || v.Revision == 0 {
-		l.restoreRecord(ctx)
+	if err != nil || !v.Stored.Exists() {
+		l.restoreRecord(ctx, egret.Revision{Era: item.Revision.Era})
 		return true
 	}
-	l.confirmRecord(v, sent)
+	if l.confirmRecord(v, sent) {
+		l.restoreRecord(ctx, v.Stored)
+	}
 	l.writeIntent(ctx)
 	l.writeVoters(ctx)
 	return true
 }
 
 // confirmRecord extends the lease to leaseTTL after the given time, at which the read of the record was sent, if
-// the record is still the one that this process holds.
-func (l *Lease) confirmRecord(v VersionedRecord, sent clock.Time) {
+// the record is still the one that this process holds. It reports whether the record has to be written again, as the
+// store was restored.
+func (l *Lease) confirmRecord(v VersionedRecord, sent clock.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if v.Revision > l.latest.Revision {
+	if v.Stored.Era < l.latest.Stored.Era {
+		return false
+	}
+	if l.displacedBy(v) {
+		l.observe(v)
+		return true
+	}
+	if l.latest.Stored.Before(v.Stored) {
 		l.observe(v)
 	}
-	if l.heldRevision == 0 || v.Revision != l.heldRevision {
-		return
+	if !l.heldRevision.Exists() || v.Revision != l.heldRevision {
+		return false
 	}
 	first := l.validUntil == 0
 	l.validUntil = max(l.validUntil, sent.Add(leaseTTL))
@@ -296,37 +310,70 @@
 		l.EventLog.Event("service-held").Str("service", l.Service).Uint64("token", l.token).Str("primary", l.latest.Record.Primary).Msg("this process holds a valid lease on the service")
 		l.onLost = l.OnValid(l)
 	}
+	return false
+}
+
+// displacedBy reports whether a restored store has the record of this process, which holds the lease, or an older one in
+// its place. The caller holds mu.
+func (l *Lease) displacedBy(v VersionedRecord) bool {
+	return l.heldRevision.Exists() && v.restored() && v.Revision.Compare(l.heldRevision) <= 0
 }
 
-// restoreRecord writes the record again after the store has lost the key. It is safe while the lease is valid: a
-// successor uses the service only after the lease has expired and a later read has shown the successor's own
-// record, and by then the key names this process again. If the lease has expired meanwhile, it ends.
-func (l *Lease) restoreRecord(ctx context.Context) {
+// readDisplaced reads the key. It returns its revision, and whether this process has to write its record again, as it has
+// a valid lease and a restored store has an older record.
+func (l *Lease) readDisplaced(ctx context.Context) (egret.Revision, bool) {
+	item, err := l.Keys.Read(ctx, l.recordKey())
+	if err != nil {
+		return egret.Revision{}, false
+	}
+	v, err := decodeRecord(item)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outdated(item) {
+		return egret.Revision{}, false
+	}
+	displaced := err == nil && l.displacedBy(v) && clock.Now() < l.validUntil
+	l.observe(v)
+	return v.Stored, displaced
+}
+
+// restoreRecord writes the record again after the store has lost the key, or has brought back an older record, and reports
+// whether it did. It does so only while the lease is valid, as no other process can hold the service then, and none had
+// replaced what was in the store when the write took effect. Like a read that shows the record, the write extends the
+// lease.
+func (l *Lease) restoreRecord(ctx context.Context, stored egret.Revision) bool {
+	sent := clock.Now()
 	l.mu.Lock()
 	record := l.ownRecord()
-	valid := clock.Now() < l.validUntil
+	if l.heldRevision.Exists() && sent >= l.validUntil {
+		l.endLease("the store lost the record while the lease was not valid")
+	}
+	held := l.heldRevision.Exists()
 	l.mu.Unlock()
-	revision, err := l.writeRecord(ctx, 0, record)
-	l.EventLog.Event("record-restored").Str("service", l.Service).Uint64("revision", revision).Bool("valid", valid).Err(err).Msg("the store had lost the record; tried to write it again")
+	if !held {
+		return false
+	}
+	revision, err := l.writeRecord(ctx, stored, record)
+	l.EventLog.Event("record-restored").Str("service", l.Service).Str("before", stored.String()).Str("revision", revision.String()).Err(err).Msg("the store had lost the record; tried to write it again")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		if errors.Is(err, egret.ErrConflict) {
+		if errors.Is(err, egret.ErrConflict) && !stored.Exists() {
 			l.endLease("another process wrote the lost record")
 		}
-		return
-	}
-	if l.heldRevision == 0 {
-		return
+		return false
 	}
-	l.heldRevision = revision
-	l.latest = VersionedRecord{
-		Record:   record,
-		Revision: revision,
+	if !l.heldRevision.Exists() {
+		return false
 	}
+	l.setHeld(revision, record)
 	if clock.Now() >= l.validUntil {
 		l.endLease("the lease expired before the record was restored")
+		return false
 	}
+	l.validUntil = max(l.validUntil, sent.Add(leaseTTL))
+	l.renewedAt = sent
+	return true
 }
 
 func (l *Lease) sleep(ctx context.Context, d time.Duration) {
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -24,7 +24,7 @@
 type cluster struct {
 	mu             sync.Mutex
 	item           egret.Item
-	revision       uint64
+	revision       egret.Revision
 	leases         []*Lease
 	storeCuts      map[string]bool
 	lostReplies    map[string]bool
@@ -43,7 +43,7 @@
 		storeCuts:   map[string]bool{},
 		lostReplies: map[string]bool{},
 		peerCuts:    map[[2]string]bool{},
-		revision:    1,
+		revision:    egret.Revision{Era: 1, Number: 1},
 	}
 }
 
@@ -72,7 +72,7 @@
 			OnValid:   func(*Lease) func() { return func() {} },
 		}
 		l.Init()
-		l.Observe(egret.Item{})
+		l.Observe(egret.Item{Revision: egret.Revision{Era: 1}})
 		cl.leases = append(cl.leases, l)
 	}
 	for _, l := range cl.leases {
@@ -93,7 +93,7 @@
 			}
 		}
 		cl.mu.Unlock()
-		if item.Revision != 0 {
+		if item.Revision.Exists() {
 			for _, l := range connected {
 				l.Observe(item)
 			}
@@ -170,15 +170,18 @@
 	}
 	k.cluster.mu.Lock()
 	defer k.cluster.mu.Unlock()
-	if k.cluster.item.Revision == 0 {
-		return egret.Item{Key: key}, nil
+	if !k.cluster.item.Revision.Exists() {
+		return egret.Item{
+			Key:      key,
+			Revision: egret.Revision{Era: k.cluster.revision.Era},
+		}, nil
 	}
 	return k.cluster.item, nil
 }
 
-func (k *fakeKeys) CompareAndSwap(ctx context.Context, key string, revision uint64, data []byte, _ egret.LeaseID) (uint64, error) {
+func (k *fakeKeys) CompareAndSwap(ctx context.Context, key string, revision egret.Revision, data []byte, _ egret.StoreLease) (egret.Revision, error) {
 	if err := k.reach(ctx); err != nil {
-		return 0, err
+		return egret.Revision{}, err
 	}
 	cl := k.cluster
 	cl.mu.Lock()
@@ -190,19 +193,20 @@
 			_, _ = cl.swap(key, revision, data)
 		}()
 		<-ctx.Done()
-		return 0, errCut
+		return egret.Revision{}, errCut
 	}
 	return cl.swap(key, revision, data)
 }
 
-func (cl *cluster) swap(key string, revision uint64, data []byte) (uint64, error) {
+func (cl *cluster) swap(key string, revision egret.Revision, data []byte) (egret.Revision, error) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if cl.item.Revision != revision {
+	// Like the platform's store, it compares the numbers only.
+	if cl.item.Revision.Number != revision.Number {
 		cl.conflicts++
-		return 0, errors.Trace(egret.ErrConflict)
+		return egret.Revision{}, errors.Trace(egret.ErrConflict)
 	}
-	cl.revision++
+	cl.revision.Number++
 	cl.item = egret.Item{
 		Key:      key,
 		Data:     slices.Clone(data),
@@ -245,7 +249,7 @@
 	return clock.Since(p.unresponsiveSince[r.Node])
 }
 
-func (p *fakePeers) GaveUp(revision uint64) bool {
+func (p *fakePeers) GaveUp(revision egret.Revision) bool {
 	for i, l := range p.cluster.leases {
 		if p.reaches(nodeName(i)) && l.GivenUpRevision() == revision {
 			return true
@@ -290,21 +294,48 @@
 	return l.GrantPromise(q), nil
 }
 
-func (p *fakePeers) RequestFence(ctx context.Context, v Voter, _ string, revision uint64) (time.Duration, Intent, error) {
+func (p *fakePeers) Everyone() []Voter { return p.Voters() }
+
+func (p *fakePeers) RequestFence(ctx context.Context, v Voter, _ string, revision egret.Revision) (FenceReply, error) {
 	l, err := p.peerLease(ctx, v)
 	if err != nil {
-		return 0, Intent{}, err
+		return FenceReply{}, err
 	}
-	remaining, intent := l.Fence(revision)
-	return remaining, intent, nil
+	return l.Fence(revision), nil
+}
+
+// storeCopy is a copy of the store of a cluster.
+type storeCopy struct {
+	item     egret.Item
+	revision egret.Revision
+}
+
+// takeCopy returns a copy of the store.
+func (cl *cluster) takeCopy() storeCopy {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return storeCopy{
+		item:     cl.item,
+		revision: cl.revision,
+	}
+}
+
+// restore replaces the store by a copy and begins a new era. The caller holds mu.
+func (cl *cluster) restore(c storeCopy) {
+	era := cl.revision.Era + 1
+	cl.item, cl.revision = c.item, c.revision
+	cl.revision.Era, cl.item.Revision.Era = era, era
 }
 
 // injectFaults sets random faults for a number of rounds, each for the given time: cut connections, lost replies,
-// delayed writes and, in one round of 8 on average, a lost record.
-func (cl *cluster) injectFaults(seed uint64, rounds int, roundLength time.Duration) {
+// delayed writes and, in one round of 8 on average, a lost record. If restores is set, an older copy replaces the store in
+// one round of 4.
+func (cl *cluster) injectFaults(seed uint64, rounds int, roundLength time.Duration, restores bool) {
 	r := rand.New(rand.NewPCG(seed, seed))
 	n := len(cl.leases)
+	copies := []storeCopy{}
 	for range rounds {
+		copies = append(copies, cl.takeCopy())
 		cl.update(func() {
 			clear(cl.storeCuts)
 			clear(cl.lostReplies)
@@ -320,6 +351,9 @@
 			if r.IntN(8) == 0 {
 				cl.item = egret.Item{}
 			}
+			if restores && r.IntN(4) == 0 {
+				cl.restore(copies[r.IntN(len(copies))])
+			}
 		})
 		time.Sleep(roundLength)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/evlog"
@@ -81,7 +83,7 @@
 	UnresponsiveFor(r Record) time.Duration
 
 	// GaveUp reports whether the holder at the revision has announced that its lease has ended.
-	GaveUp(revision uint64) bool
+	GaveUp(revision egret.Revision) bool
 
 	// Responds reports whether the process responds now.
 	Responds(ctx context.Context, r Record) bool
@@ -92,12 +94,14 @@
 	// Voters returns the processes that a holder should ask for promises, sorted by node.
 	Voters() []Voter
 
+	// Everyone returns all processes that may be voters.
+	Everyone() []Voter
+
 	// RequestPromise asks a process for a promise.
 	RequestPromise(ctx context.Context, v Voter, service string, q Promise) (bool, error)
 
-	// RequestFence asks a process to refuse promises to holders with a lower revision from now on. It returns
-	// how much longer its last promise is in force, and the newest intent that it received.
-	RequestFence(ctx context.Context, v Voter, service string, revision uint64) (time.Duration, Intent, error)
+	// RequestFence asks a process to refuse promises to holders with a lower revision from now on.
+	RequestFence(ctx context.Context, v Voter, service string, revision egret.Revision) (FenceReply, error)
 }
 
 // Lease is one process's side of the lease on one service: it acquires, renews and releases the lease, and as a voter
@@ -131,15 +135,22 @@
 	// mu guards all fields below. It is never held during I/O.
 	mu sync.Mutex
 
-	// latest is the newest record that is known, and latestChangedAt is when this process saw it first.
-	// latestKnown says that a record or its absence has been read.
+	// latest is the newest record that is known, with the newest known state of the key, and latestChangedAt is when
+	// this process saw it first. latestKnown says that a record or its absence has been read. After a restore of the
+	// store, the record in the store may be older than latest.
 	latest          VersionedRecord
 	latestKnown     bool
 	latestChangedAt clock.Time
 
-	// heldRevision is the key's revision while this process is the holder, else zero. token is the
-	// heldRevision at which the lease was acquired.
-	heldRevision, token uint64
+	// newest is the highest revision of a record that was known. latest has it, unless the key doesn't exist.
+	newest egret.Revision
+
+	// eraChanged says that the store was restored since this process read the key first.
+	eraChanged bool
+
+	// heldRevision is the record's revision while this process is the holder, else zero. token is the fencing token.
+	heldRevision egret.Revision
+	token        uint64
 
 	// replaced is the record that this process replaced when it acquired the lease.
 	replaced VersionedRecord
@@ -176,12 +187,15 @@
 	// votersUnreachable says that the last attempt to fence the former holders reached too few voters.
 	votersUnreachable bool
 
-	// uncertainWrite is one more than the revision that a write of unknown outcome depends on, or zero. The
-	// store may still execute that write.
-	uncertainWrite uint64
+	// awaitsUnknown says that a restored store may have lost the record of a former holder, until so many processes refuse
+	// promises to former holders that no such holder can get a majority.
+	awaitsUnknown bool
+
+	// renewalDue says that Run renews the lease without waiting for renewInterval.
+	renewalDue bool
 
 	// givenUpRevision is the revision of a lease that was valid and ended without a successor, or zero.
-	givenUpRevision uint64
+	givenUpRevision egret.Revision
 
 	// acquisitionDisabled says that the process acquires no lease any more.
 	acquisitionDisabled bool
@@ -207,7 +221,8 @@
 		case <-l.wakeups:
 		}
 		l.mu.Lock()
-		held := l.heldRevision != 0
+		held, due := l.heldRevision.Exists(), l.renewalDue
+		l.renewalDue = false
 		l.mu.Unlock()
 		timer.Reset(checkInterval)
 		switch {
@@ -216,7 +231,7 @@
 				timer.Reset(idleCheckInterval)
 			}
 		case l.formerMayBeValid(ctx):
-		case clock.Since(lastAttempt) >= renewInterval || !l.Valid():
+		case due || clock.Since(lastAttempt) >= renewInterval || !l.Valid():
 			lastAttempt = clock.Now()
 			if failing {
 				l.extend(ctx)
@@ -240,46 +255,64 @@
 func (l *Lease) Observe(item egret.Item) {
 	v, err := decodeRecord(item)
 	if err != nil {
-		l.EventLog.Event("record-unreadable").Str("service", l.Service).Uint64("revision", item.Revision).Err(err).Msg("the lease record can't be decoded")
+		l.EventLog.Event("record-unreadable").Str("service", l.Service).Str("revision", item.Revision.String()).Err(err).Msg("the lease record can't be decoded")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	absent := item.Removed || item.Revision == 0
-	if l.latestKnown && !absent && item.Revision <= l.latest.Revision {
-		return
-	}
-	if item.Removed && item.Revision < l.latest.Revision {
+	if l.latestKnown && l.outdated(item) {
 		return
 	}
 	l.observe(v)
 }
 
-// observe replaces the latest record by a newer one. The caller holds mu.
+// outdated reports whether a newer state of the key than the item's is known. The caller holds mu.
+func (l *Lease) outdated(item egret.Item) bool {
+	known := l.latest.Stored
+	switch {
+	case item.Revision.Era != known.Era:
+		return item.Revision.Era < known.Era
+	case !item.Revision.Exists():
+		return false
+	case item.Removed:
+		return item.Revision.Before(known)
+	}
+	return item.Revision.Compare(known) <= 0
+}
+
+// observe replaces the latest state of the key by a newer one, and the latest record unless the one in the store is
+// older. The caller holds mu.
 func (l *Lease) observe(v VersionedRecord) {
-	if l.latestKnown && v.Revision == l.latest.Revision {
+	if l.latestKnown && v.Stored == l.latest.Stored {
 		return
 	}
-	l.EventLog.Event("holder-seen").Str("service", l.Service).Str("holder", v.Record.Node).Uint64("revision", v.Revision).
-		Uint64("before", l.latest.Revision).Bool("released", v.Record.Released).Str("primary", v.Record.Primary).Msg("the service's record changed")
+	l.EventLog.Event("holder-seen").Str("service", l.Service).Str("holder", v.Record.Node).Str("revision", v.Stored.String()).
+		Str("written", v.Revision.String()).Str("before", l.latest.Stored.String()).Bool("restored", v.restored()).
+		Bool("released", v.Record.Released).Str("primary", v.Record.Primary).Msg("the service's record changed")
 	previous := l.latest
+	l.eraChanged = l.eraChanged || l.latestKnown && v.Stored.Era > previous.Stored.Era
 	l.latest = v
 	l.latestKnown = true
 	l.latestChangedAt = clock.Now()
 	l.proposedVoters = nil
-	if l.uncertainWrite != 0 && v.Revision+1 != l.uncertainWrite {
-		l.uncertainWrite = 0
-	}
-	if v.Revision == 0 {
+	if !v.Stored.Exists() {
 		// The store lost the key. The content of the last record stays valid, as any change of it would have
 		// been observed before the removal.
 		l.latest.Record = previous.Record
 	}
-	if l.heldRevision == 0 {
+	kept := v.Stored.Exists() && v.Revision.Before(l.newest)
+	if kept {
+		// A restored store has an older record than this process.
+		l.latest.Record, l.latest.Revision = previous.Record, l.newest
+	}
+	l.newest = later(l.newest, v.Revision)
+	if !l.heldRevision.Exists() {
 		l.wake()
 		return
 	}
 	switch {
-	case v.Revision == 0:
+	case !v.Stored.Exists() || kept || v.Revision == l.heldRevision:
+		// The record has to be written again, which renew does.
+		l.renewalDue = true
 	case l.isOwn(v.Record) && !v.Record.Released && clock.Now() < l.validUntil:
 		l.heldRevision = v.Revision
 	case l.isOwn(v.Record) && !v.Record.Released:
@@ -290,6 +323,20 @@
 	l.wake()
 }
 
+// later returns the later of two revisions.
+func later(a, b egret.Revision) egret.Revision {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// mayHaveLostRecords reports whether the latest record was written before the store was restored: newer ones may have been
+// lost, and with them a holder that this process doesn't know. The caller holds mu.
+func (l *Lease) mayHaveLostRecords() bool {
+	return l.newest.Era < l.latest.Stored.Era && (l.newest.Exists() || l.eraChanged)
+}
+
 // isOwn reports whether the record names this run of the process as the holder.
 func (l *Lease) isOwn(r Record) bool {
 	return r.Node == l.Self.Node && r.Incarnation == l.Self.Incarnation
@@ -297,11 +344,11 @@
 
 // endLease ends the lease of this process. The caller holds mu.
 func (l *Lease) endLease(cause string) {
-	l.EventLog.Event("service-lost").Str("service", l.Service).Str("cause", cause).Uint64("revision", l.heldRevision).Msg("this process no longer holds the lease on the service")
+	l.EventLog.Event("service-lost").Str("service", l.Service).Str("cause", cause).Str("revision", l.heldRevision.String()).Msg("this process no longer holds the lease on the service")
 	if l.validUntil != 0 {
 		l.givenUpRevision = l.heldRevision
 	}
-	l.heldRevision = 0
+	l.heldRevision = egret.Revision{}
 	l.validUntil = 0
 	l.unwrittenIntent = Intent{}
 	l.proposedVoters = nil
@@ -312,7 +359,7 @@
 }
 
 // GivenUpRevision returns the revision of a lease that was valid and has ended without a successor, or zero.
-func (l *Lease) GivenUpRevision() uint64 {
+func (l *Lease) GivenUpRevision() egret.Revision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.givenUpRevision
@@ -323,7 +370,7 @@
 func (l *Lease) endExpired() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision != 0 && l.validUntil != 0 && clock.Since(l.validUntil) > expiryGrace {
+	if l.heldRevision.Exists() && l.validUntil != 0 && clock.Since(l.validUntil) > expiryGrace {
 		l.endLease("the lease expired")
 	}
 }
@@ -331,7 +378,7 @@
 func (l *Lease) endIfHeld(cause string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision != 0 {
+	if l.heldRevision.Exists() {
 		l.endLease(cause)
 	}
 }
@@ -359,12 +406,32 @@
 	return Prefix + l.Service
 }
 
-func (l *Lease) writeRecord(ctx context.Context, revision uint64, r Record) (uint64, error) {
+// writeRecord writes the record if the key still has the stored revision, and returns the new revision. ErrConflict, as the
+// cause of an error, means that it has another one, or that the store was restored, so that it may have had.
+func (l *Lease) writeRecord(ctx context.Context, stored egret.Revision, r Record) (egret.Revision, error) {
+	r.Era = &stored.Era
 	data, err := json.Marshal(r)
 	if err != nil {
-		return 0, err
+		return egret.Revision{}, err
 	}
-	return l.Keys.CompareAndSwap(ctx, l.recordKey(), revision, data, 0)
+	written, err := l.Keys.CompareAndSwap(ctx, l.recordKey(), stored, data, egret.StoreLease{})
+	if err == nil && written.Era != stored.Era {
+		return egret.Revision{}, errors.Annotatef(egret.ErrConflict, "written at %s after %s", written, stored)
+	}
+	return written, err
+}
+
+// setHeld records that this process has written its record. The caller holds mu.
+func (l *Lease) setHeld(written egret.Revision, r Record) {
+	r.Era = &written.Era
+	l.heldRevision = written
+	l.newest = later(l.newest, written)
+	l.latest = VersionedRecord{
+		Record:   r,
+		Revision: written,
+		Stored:   written,
+	}
+	l.latestKnown = true
 }
 
 // jitter returns a random duration of d/2 to 3d/2, to spread the calls of processes that react to the same event.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
 )
 
@@ -237,7 +238,7 @@
 	cl := newCluster()
 	cl.start(t, 3)
 	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
-	cl.update(func() { cl.item.Revision = 0 })
+	cl.update(func() { cl.item.Revision = egret.Revision{} })
 	for began := time.Now(); time.Since(began) < 3*time.Second; {
 		if l := cl.validHolder(t); l != holder {
 			t.Fatalf("the holder lost the lease after %v", time.Since(began))
@@ -252,28 +253,153 @@
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			cl := newCluster()
-			cl.start(t, 5)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				cl.injectFaults(seed, 24, 500*time.Millisecond)
-			}()
-			for running := true; running; {
-				select {
-				case <-done:
-					running = false
-				default:
-					cl.validHolder(t)
-					time.Sleep(time.Millisecond)
-				}
-			}
-			cl.update(func() {
-				clear(cl.storeCuts)
-				clear(cl.lostReplies)
-				clear(cl.peerCuts)
-			})
-			cl.awaitHolder(t, "holder after all faults have ended", maxExtension+5*time.Second, func(*Lease) bool { return true })
+			testOneHolder(t, seed, false)
 		})
 	}
 }
+
+// TestOneHolderAcrossRestores guards against two holders, and against a service that has none for good, after the store
+// came back from an older copy in which the service had another holder, or none.
+func TestOneHolderAcrossRestores(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			testOneHolder(t, seed, true)
+		})
+	}
+}
+
+func testOneHolder(t *testing.T, seed uint64, restores bool) {
+	t.Helper()
+	cl := newCluster()
+	cl.start(t, 5)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		cl.injectFaults(seed, 24, 500*time.Millisecond, restores)
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+			cl.validHolder(t)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	cl.update(func() {
+		clear(cl.storeCuts)
+		clear(cl.lostReplies)
+		clear(cl.peerCuts)
+	})
+	cl.awaitHolder(t, "holder after all faults have ended", maxExtension+5*time.Second, func(*Lease) bool { return true })
+}
+
+// successorOf makes the holder release the lease, and returns the next holder.
+func (cl *cluster) successorOf(t *testing.T, holder *Lease) *Lease {
+	t.Helper()
+	next := nodeName(0)
+	if holder.Self.Node == next {
+		next = nodeName(1)
+	}
+	holder.Release(t.Context(), next)
+	return cl.awaitHolder(t, "successor", 5*time.Second, func(l *Lease) bool { return l != holder })
+}
+
+// outage makes the store silent for the time, and then replaces it by the copy.
+func (cl *cluster) outage(t *testing.T, d time.Duration, c storeCopy) {
+	t.Helper()
+	cl.update(func() {
+		for _, l := range cl.leases {
+			cl.storeCuts[l.Self.Node] = true
+		}
+	})
+	for began := time.Now(); time.Since(began) < d; time.Sleep(time.Millisecond) {
+		cl.validHolder(t)
+	}
+	cl.update(func() {
+		clear(cl.storeCuts)
+		cl.restore(c)
+	})
+}
+
+// TestHolderOutlastsRestore guards against a holder that loses its lease, and a service that nobody can acquire any more,
+// because the copy that the store came back from names the holder before it.
+func TestHolderOutlastsRestore(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	former := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	older := cl.takeCopy()
+	holder := cl.successorOf(t, former)
+	token := holder.FencingToken()
+	cl.outage(t, 2*time.Second, older)
+	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(time.Millisecond) {
+		if l := cl.validHolder(t); l != holder {
+			t.Fatalf("the holder lost the lease %v after the restore", time.Since(began))
+		}
+	}
+	for _, l := range cl.leases {
+		if v, _ := l.LatestRecord(); v.Record.Node != holder.Self.Node || v.restored() {
+			t.Errorf("%s knows %+v", l.Self.Node, v)
+		}
+	}
+	next := cl.successorOf(t, holder)
+	if next.FencingToken() <= token {
+		t.Errorf("the next holder has token %d after %d", next.FencingToken(), token)
+	}
+}
+
+// TestLostHolderIsReplacedAfterRestore guards against a service without a holder after the store came back from a copy that
+// names a process which has released the lease, while its successor is gone.
+func TestLostHolderIsReplacedAfterRestore(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	former := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	older := cl.takeCopy()
+	holder := cl.successorOf(t, former)
+	if err := holder.SetPrimary(t.Context(), "m2"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	cl.update(func() {
+		for _, l := range cl.leases {
+			cl.peerCuts[[2]string{holder.Self.Node, l.Self.Node}] = true
+		}
+	})
+	cl.outage(t, 2*time.Second, older)
+	cl.update(func() { cl.storeCuts[holder.Self.Node] = true })
+	next := cl.awaitHolder(t, "successor", 8*time.Second, func(l *Lease) bool { return l != holder })
+	if p := next.Primary(); p != "m2" {
+		t.Errorf("the successor takes %q for the primary", p)
+	}
+}
+
+// TestUnseenHolderKeepsLeaseAfterRestore guards against two holders: the store comes back from a copy, to processes that
+// know neither the holder nor its record, while that is cut off from the store and goes on with promises.
+func TestUnseenHolderKeepsLeaseAfterRestore(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	former := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	older := cl.takeCopy()
+	cl.update(func() { cl.changesHidden = true })
+	holder := cl.leases[0]
+	if holder == former {
+		holder = cl.leases[1]
+	}
+	former.Release(t.Context(), holder.Self.Node)
+	holder.Observe(cl.takeCopy().item)
+	cl.awaitHolder(t, "successor", 5*time.Second, func(l *Lease) bool { return l == holder })
+	cl.outage(t, 1500*time.Millisecond, older)
+	cl.update(func() {
+		cl.changesHidden = false
+		cl.storeCuts[holder.Self.Node] = true
+	})
+	for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(time.Millisecond) {
+		cl.validHolder(t)
+	}
+	cl.update(func() { clear(cl.storeCuts) })
+	cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+}
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -31,7 +31,7 @@
 // Promise is a holder's request to a voter to acknowledge no successor for some time.
 type Promise struct {
 	// Revision is the revision of the holder's record.
-	Revision uint64
+	Revision egret.Revision
 
 	// Duration is how long the promise is in force after the voter has given it.
 	Duration time.Duration
@@ -59,7 +59,7 @@
 	promisedUntil clock.Time
 
 	// minRevision is the lowest revision of holders that get promises.
-	minRevision uint64
+	minRevision egret.Revision
 
 	// intent is the newest intent that was received.
 	intent Intent
@@ -72,7 +72,7 @@
 	defer l.mu.Unlock()
 	// An earlier run of this process may have refused promises to this revision. The newest record shows that,
 	// so nothing is promised until it is known.
-	if !l.latestKnown || q.Revision < l.voter.minRevision || q.Revision < l.latest.Revision {
+	if !l.latestKnown || q.Revision.Before(l.voter.minRevision) || q.Revision.Before(l.newest) {
 		return false
 	}
 	l.voter.promisedUntil = max(l.voter.promisedUntil, clock.Now().Add(q.Duration))
@@ -82,17 +82,34 @@
 	return true
 }
 
-// Fence fences the holders with a lower revision: from now on, this process refuses promises to them. It returns how
-// much longer its last promise is in force, and the newest intent that it received.
-func (l *Lease) Fence(revision uint64) (time.Duration, Intent) {
+// FenceReply is a voter's response to a process that fences former holders.
+type FenceReply struct {
+	// Remaining is how much longer the voter's last promise is in force.
+	Remaining time.Duration
+
+	// Intent is the newest intent that the voter received.
+	Intent Intent
+
+	// Newest is the revision of the newest record of the service that the voter knows, and Primary the primary in it.
+	Newest  egret.Revision
+	Primary string
+}
+
+// Fence fences the holders with a lower revision: from now on, this process refuses promises to them.
+func (l *Lease) Fence(revision egret.Revision) FenceReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.voter.minRevision = max(l.voter.minRevision, revision)
-	if l.heldRevision != 0 && l.heldRevision < revision {
+	l.voter.minRevision = later(l.voter.minRevision, revision)
+	if l.heldRevision.Exists() && l.heldRevision.Before(revision) {
 		l.endLease("a successor asked this process to refuse promises to earlier holders")
 	}
 	expiry := max(l.voter.promisedUntil, l.voter.startedAt.Add(PromiseDuration))
-	return max(0, clock.Until(expiry)), l.voter.intent
+	return FenceReply{
+		Remaining: max(0, clock.Until(expiry)),
+		Intent:    l.voter.intent,
+		Newest:    l.newest,
+		Primary:   l.latest.Record.Primary,
+	}
 }
 
 // extend extends the lease by promises of the voters while the store doesn't respond. It doesn't make an expired
@@ -103,24 +120,24 @@
 	revision, limit := l.heldRevision, l.renewedAt.Add(maxExtension)
 	valid := sent < l.validUntil
 	l.mu.Unlock()
-	if revision == 0 || !valid || sent.Add(PromiseDuration) > limit {
+	if !revision.Exists() || !valid || sent.Add(PromiseDuration) > limit {
 		return
 	}
 	promised := l.requestPromises(ctx, revision, Intent{})
-	l.EventLog.Event("promises-asked").Str("service", l.Service).Uint64("revision", revision).Bool("majority", promised).Dur("left", l.Remaining()).Msg("asked the voters for promises to extend the lease")
+	l.EventLog.Event("promises-asked").Str("service", l.Service).Str("revision", revision.String()).Bool("majority", promised).Dur("left", l.Remaining()).Msg("asked the voters for promises to extend the lease")
 	if !promised {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision >= revision {
+	if !l.heldRevision.Before(revision) {
 		l.validUntil = max(l.validUntil, sent.Add(PromiseDuration))
 	}
 }
 
 // requestPromises asks the voters for promises, and the proposed voters if there are any. It reports whether a
 // majority of each list gives them.
-func (l *Lease) requestPromises(ctx context.Context, revision uint64, intent Intent) bool {
+func (l *Lease) requestPromises(ctx context.Context, revision egret.Revision, intent Intent) bool {
 	l.mu.Lock()
 	lists := [][]Voter{l.latest.Record.Voters}
 	if l.proposedVoters != nil {
@@ -175,52 +192,84 @@
 	return n
 }
 
-// fenceFormerHolders asks the voters of former holders to fence these, that is, to refuse them further promises. If no
-// majority of a list does, this process waits until maxExtension and clockDriftMargin have passed since it acquired the
-// lease.
+// maxUnreached returns how many of all processes may leave a request to refuse promises unanswered so that a holder whose
+// voters aren't known can't get a majority of these. It has as many voters as the given list, unless there are fewer
+// processes.
+func maxUnreached(voters []Voter) int {
+	return majority(voters) - 1
+}
+
+// fenceFormerHolders asks the voters of former holders to fence these, that is, to refuse them further promises, and all
+// processes if a former holder may be unknown. If too few do, this process waits until maxExtension and clockDriftMargin
+// have passed since it acquired the lease.
 func (l *Lease) fenceFormerHolders(ctx context.Context) {
 	l.mu.Lock()
 	revision, acquiredAt := l.heldRevision, l.acquiredAt
-	promisedUntil, intent := l.voter.promisedUntil, l.voter.intent
-	lists := slices.Clone(l.awaitedVoters)
+	promisedUntil := l.voter.promisedUntil
+	newest := FenceReply{
+		Intent: l.voter.intent,
+		Newest: l.replaced.Revision,
+	}
+	lists, own := slices.Clone(l.awaitedVoters), l.latest.Record.Voters
+	everyone := []Voter{}
+	if l.awaitsUnknown {
+		everyone = l.Peers.Everyone()
+	}
 	l.mu.Unlock()
 	mu := sync.Mutex{}
 	expiry := max(clock.Now(), promisedUntil)
-	refusing := l.queryVoters(union(lists), func(v Voter) bool {
-		remaining, received, err := l.Peers.RequestFence(ctx, v, l.Service, revision)
+	refusing := l.queryVoters(union(append(slices.Clone(lists), everyone)), func(v Voter) bool {
+		reply, err := l.Peers.RequestFence(ctx, v, l.Service, revision)
 		if err != nil {
 			return false
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		expiry = max(expiry, clock.Now().Add(remaining))
-		if received.Order > intent.Order {
-			intent = received
+		expiry = max(expiry, clock.Now().Add(reply.Remaining))
+		if reply.Intent.Order > newest.Intent.Order {
+			newest.Intent = reply.Intent
+		}
+		if newest.Newest.Before(reply.Newest) && reply.Newest.Before(revision) {
+			newest.Newest, newest.Primary = reply.Newest, reply.Primary
 		}
 		return true
 	})
 	extensionOver := clock.Since(acquiredAt) > maxExtension+clockDriftMargin
-	pending := [][]Voter{}
+	pending := 0
 	for _, list := range lists {
 		if !extensionOver && countIn(list, refusing) < majority(list) {
-			pending = append(pending, list)
+			pending++
 		}
 	}
-	l.EventLog.Event("voters-cleared").Str("service", l.Service).Uint64("revision", revision).Int("lists", len(lists)).
-		Int("open", len(pending)).Int("barred", len(refusing)).Bool("waited-out", extensionOver).Dur("lapse", clock.Until(expiry)).Msg("asked the voters of former holders to refuse promises to them")
+	if !extensionOver && len(everyone)-countIn(everyone, refusing) > maxUnreached(own) {
+		pending++
+	}
+	l.EventLog.Event("voters-cleared").Str("service", l.Service).Str("revision", revision.String()).Int("lists", len(lists)).
+		Int("all", len(everyone)).Int("open", pending).Int("barred", len(refusing)).Bool("waited-out", extensionOver).Dur("lapse", clock.Until(expiry)).Msg("asked the voters of former holders to refuse promises to them")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.heldRevision != revision {
 		return
 	}
-	l.votersUnreachable = len(pending) > 0
+	l.votersUnreachable = pending > 0
 	if l.votersUnreachable {
 		return
 	}
-	l.awaitedVoters = nil
+	l.awaitedVoters, l.awaitsUnknown = nil, false
 	l.usableFrom = max(l.usableFrom, expiry)
-	if intent.Order > 0 && intent.Primary != l.latest.Record.Primary {
-		l.unwrittenIntent = intent
+	l.adoptNewest(newest)
+}
+
+// adoptNewest takes over the primary that the voters know from former holders, if this process doesn't know it: one that
+// was sent to them only, or that of a record which a restored store has lost. The caller holds mu.
+func (l *Lease) adoptNewest(newest FenceReply) {
+	switch {
+	case newest.Intent.Order > 0 && newest.Intent.Primary != l.latest.Record.Primary:
+		l.unwrittenIntent = newest.Intent
+	case newest.Primary != "" && newest.Primary != l.latest.Record.Primary:
+		l.unwrittenIntent = Intent{
+			Primary: newest.Primary,
+		}
 	}
 }
 
@@ -250,7 +299,7 @@
 	}
 	l.voter.intent = intent
 	l.mu.Unlock()
-	sent := revision != 0 && l.requestPromises(ctx, revision, intent)
+	sent := revision.Exists() && l.requestPromises(ctx, revision, intent)
 	l.EventLog.Event("primary-told").Str("service", l.Service).Str("member", member).Bool("majority", sent).Msg("sent the new primary to the voters, as it could not be written to the store")
 	if !sent {
 		return false
@@ -282,7 +331,8 @@
 		voters = l.proposedVoters
 	}
 	keepsVoters := slices.Equal(voters, l.latest.Record.Voters) || clock.Since(l.latestChangedAt) < minVoterChangeInterval
-	if l.heldRevision == 0 || l.validUntil == 0 || keepsVoters && l.latest.Record.Awaits == nil {
+	awaitsNone := l.latest.Record.Awaits == nil && !l.latest.Record.AwaitsUnknown
+	if !l.heldRevision.Exists() || l.validUntil == 0 || keepsVoters && awaitsNone {
 		l.mu.Unlock()
 		return
 	}
@@ -291,7 +341,7 @@
 	l.proposedVoters = voters
 	l.mu.Unlock()
 	written, err := l.writeRecord(ctx, revision, record)
-	l.EventLog.Event("voters-written").Str("service", l.Service).Int("voters", len(voters)).Uint64("revision", written).Err(err).Msg("asked the store to record the current voters")
+	l.EventLog.Event("voters-written").Str("service", l.Service).Int("voters", len(voters)).Str("revision", written.String()).Err(err).Msg("asked the store to record the current voters")
 	if err != nil {
 		// The next read shows whether the store has executed the write.
 		return
@@ -299,13 +349,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.heldRevision == revision {
-		l.heldRevision = written
+		l.setHeld(written, record)
 		l.proposedVoters = nil
 		l.latestChangedAt = clock.Now()
-		l.latest = VersionedRecord{
-			Record:   record,
-			Revision: written,
-		}
 	}
 }
 
--- a/lease/record.go
+++ b/lease/record.go
@@ -12,6 +12,11 @@
 
 // Record is the value of a service's key.
 type Record struct {
+	// Era is the era of the store that the process knew when it wrote the record. If it is older than the era in which the
+	// record is read, a restored store has brought the record back, or the process didn't know of the restore. Nil stands
+	// for the era in which the record is read, as processes of an earlier version write none.
+	Era *uint64 `json:"era,omitempty"`
+
 	// Node and Incarnation identify the holder's process.
 	Node        string `json:"node"`
 	Incarnation string `json:"incarnation"`
@@ -30,6 +35,9 @@
 	// removes them when its own lease has become valid.
 	Awaits [][]Voter `json:"awaits"`
 
+	// AwaitsUnknown says that a restored store may have lost the record of a holder whose lease may still be valid.
+	AwaitsUnknown bool `json:"awaits-unknown,omitempty"`
+
 	// Released says that the process has stopped using the service and released its lease.
 	Released bool `json:"released"`
 
@@ -48,25 +56,39 @@
 	return len(voters)/2 + 1
 }
 
-// VersionedRecord is a record with the revision at which it was read.
+// VersionedRecord is a record with its revision.
 type VersionedRecord struct {
 	// Record is the key's value. It is zero if the key doesn't exist.
 	Record Record
 
-	// Revision is the key's revision, or zero if the key doesn't exist.
-	Revision uint64
+	// Revision orders the versions of the record, in all eras: it has the era in which the record was written. Its number
+	// is zero if the key doesn't exist.
+	Revision egret.Revision
+
+	// Stored is the revision of the key in the store, in the era in which it was read. Its number is zero if the key
+	// doesn't exist.
+	Stored egret.Revision
+}
+
+// restored reports whether a restored store has brought the record back, or its writer didn't know of the restore.
+func (v VersionedRecord) restored() bool {
+	return v.Stored.Exists() && v.Revision.Era < v.Stored.Era
 }
 
 // decodeRecord decodes the value of an item. A value that can't be decoded is treated as a record without a
 // holder.
 func decodeRecord(item egret.Item) (VersionedRecord, error) {
 	v := VersionedRecord{
-		Revision: item.Revision,
+		Stored: item.Revision,
 	}
-	if item.Removed || item.Revision == 0 {
-		v.Revision = 0
+	if item.Removed || !item.Revision.Exists() {
+		v.Stored.Number = 0
 		return v, nil
 	}
+	v.Revision = item.Revision
 	err := json.Unmarshal(item.Data, &v.Record)
+	if v.Record.Era != nil {
+		v.Revision.Era = min(*v.Record.Era, item.Revision.Era)
+	}
 	return v, err
 }
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -14,7 +14,7 @@
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heldRevision != 0 && clock.Now() < l.validUntil
+	return l.heldRevision.Exists() && clock.Now() < l.validUntil
 }
 
 // Acquired reports whether the record names this process as the holder. Its lease becomes valid once those of former
@@ -22,14 +22,14 @@
 func (l *Lease) Acquired() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heldRevision != 0
+	return l.heldRevision.Exists()
 }
 
 // Remaining returns how long the lease stays valid without a renewal.
 func (l *Lease) Remaining() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision == 0 {
+	if !l.heldRevision.Exists() {
 		return 0
 	}
 	return clock.Until(l.validUntil)
@@ -41,13 +41,13 @@
 func (l *Lease) AwaitsUnreachable() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision == 0 || l.validUntil != 0 || !l.votersUnreachable {
+	if !l.heldRevision.Exists() || l.validUntil != 0 || !l.votersUnreachable {
 		return 0
 	}
 	return max(0, clock.Until(l.acquiredAt.Add(maxExtension+clockDriftMargin)))
 }
 
-// FencingToken returns the fencing token: the revision at which this process acquired the lease.
+// FencingToken returns the fencing token: that of the revision at which this process acquired the lease.
 func (l *Lease) FencingToken() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -77,21 +77,26 @@
 	l.mu.Lock()
 	revision, record := l.heldRevision, l.latest.Record
 	l.mu.Unlock()
-	if revision == 0 {
+	if !revision.Exists() {
 		return
 	}
 	record.Released = true
 	record.Awaits = nil
+	record.AwaitsUnknown = false
 	record.Successor = successor
 	for ctx.Err() == nil {
 		_, err := l.writeRecord(ctx, revision, record)
-		l.EventLog.Event("service-released").Str("service", l.Service).Uint64("revision", revision).Str("successor", successor).Err(err).Msg("asked the store to record the release of the lease")
+		l.EventLog.Event("service-released").Str("service", l.Service).Str("revision", revision.String()).Str("successor", successor).Err(err).Msg("asked the store to record the release of the lease")
 		if err == nil {
 			l.endReleased()
 			return
 		}
 		if errors.Is(err, egret.ErrConflict) {
-			break
+			stored, displaced := l.readDisplaced(ctx)
+			if !displaced {
+				break
+			}
+			revision = stored
 		}
 	}
 	l.endIfHeld("the release was not confirmed")
@@ -103,10 +108,10 @@
 func (l *Lease) endReleased() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision != 0 {
+	if l.heldRevision.Exists() {
 		l.endLease("released")
 	}
-	l.givenUpRevision = 0
+	l.givenUpRevision = egret.Revision{}
 }
 
 // SetPrimary records that the member is about to be made primary. If the store doesn't respond, a majority of the
@@ -114,36 +119,43 @@
 func (l *Lease) SetPrimary(ctx context.Context, member string) error {
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
-	l.mu.Lock()
-	revision, record := l.heldRevision, l.ownRecord()
-	l.mu.Unlock()
-	if revision == 0 {
-		return errors.Annotatef(egret.ErrLeaseExpired, "service %s", l.Service)
-	}
-	record.Primary = member
-	written, err := l.writeRecord(ctx, revision, record)
-	if err != nil {
+	for first := true; ; first = false {
+		err := l.writePrimary(ctx, member)
+		if err == nil {
+			return nil
+		}
 		// The store may have executed the write nevertheless; a read shows whether it has.
-		if item, readErr := l.Keys.Read(ctx, l.recordKey()); readErr == nil {
-			l.Observe(item)
+		if stored, displaced := l.readDisplaced(ctx); first && displaced && l.restoreRecord(ctx, stored) {
+			continue
 		}
 		if l.Primary() == member && l.Valid() {
 			return nil
 		}
-		if errors.Is(err, egret.ErrConflict) || !l.sendIntent(member) {
+		if errors.Is(err, egret.ErrConflict) || errors.Is(err, egret.ErrLeaseExpired) || !l.sendIntent(member) {
 			return errors.Annotatef(err, "primary of %s", l.Service)
 		}
 		return nil
 	}
+}
+
+// writePrimary writes the primary to the record.
+func (l *Lease) writePrimary(ctx context.Context, member string) error {
+	l.mu.Lock()
+	revision, record := l.heldRevision, l.ownRecord()
+	l.mu.Unlock()
+	if !revision.Exists() {
+		return egret.ErrLeaseExpired
+	}
+	record.Primary = member
+	written, err := l.writeRecord(ctx, revision, record)
+	if err != nil {
+		return err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unwrittenIntent = Intent{}
 	if l.heldRevision == revision {
-		l.heldRevision = written
-		l.latest = VersionedRecord{
-			Record:   record,
-			Revision: written,
-		}
+		l.setHeld(written, record)
 	}
 	return nil
 }
@@ -157,8 +169,9 @@
 		Primary:     l.latest.Record.Primary,
 		Voters:      l.latest.Record.Voters,
 	}
-	if l.heldRevision != 0 && l.validUntil == 0 {
+	if l.heldRevision.Exists() && l.validUntil == 0 {
 		r.Awaits = l.latest.Record.Awaits
+		r.AwaitsUnknown = l.latest.Record.AwaitsUnknown
 	}
 	if l.unwrittenIntent.Primary != "" {
 		r.Primary = l.unwrittenIntent.Primary
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"reflect"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/lease"
+	"egretlane.example/egret/watch"
 )
 
 // fakeHost answers statements with a function.
@@ -27,16 +29,25 @@
 func (h *fakeHost) Incarnation() string                     { return "1" }
 func (h *fakeHost) NodeID() string                          { return "host" }
 func (h *fakeHost) Leaving() bool                           { return false }
-func (h *fakeHost) GivenUpRevisions() []uint64              { return []uint64{7} }
+func (h *fakeHost) GivenUpRevisions() []egret.Revision      { return []egret.Revision{{Era: 2, Number: 7}} }
 func (h *fakeHost) GrantPromise(string, lease.Promise) bool { return true }
-func (h *fakeHost) Changes(string, uint64) ([]egret.Item, uint64, bool) {
+func (h *fakeHost) Changes(string, egret.Revision) (watch.Changes, bool) {
 	time.Sleep(time.Duration(h.firstChangesDelay.Swap(0)))
-	return []egret.Item{{Key: "a", Data: []byte("b"), Revision: 3}}, 4, true
+	return watch.Changes{
+		Items: []egret.Item{{Key: "a", Data: []byte("b"), Revision: egret.Revision{Era: 2, Number: 3}}},
+		At:    egret.Revision{Era: 2, Number: 4},
+		All:   true,
+	}, true
 }
 func (h *fakeHost) PeerStream(bool) egret.Stream                                { return h }
 func (h *fakeHost) Close()                                                      {}
 func (h *fakeHost) Do(_ context.Context, w egret.StatementRequest) egret.Answer { return h.do(w) }
-func (h *fakeHost) Fence(string, uint64) (time.Duration, lease.Intent)          { return 0, lease.Intent{} }
+func (h *fakeHost) Fence(_ string, r egret.Revision) lease.FenceReply {
+	return lease.FenceReply{
+		Newest:  r,
+		Primary: "m1",
+	}
+}
 func (h *fakeHost) PingPeer(context.Context, netip.AddrPort) (string, error) {
 	return "", errors.NotFoundf("proxy")
 }
@@ -178,7 +189,7 @@
 	stopped, stop := serveHost(t, &fakeHost{})
 	stop()
 	p := newPool(t)
-	if r, err := p.Ping(t.Context(), alive); err != nil || r.GetNode() != "host" || len(r.GetGivenUp()) != 1 {
+	if r, err := p.Ping(t.Context(), alive); err != nil || r.Node != "host" || !slices.Equal(r.GivenUp, []egret.Revision{{Era: 2, Number: 7}}) {
 		t.Fatalf("%v %v", r, err)
 	}
 	if _, err := p.Ping(t.Context(), stopped); err == nil {
@@ -198,6 +209,17 @@
 	}
 }
 
+// TestErasAreTransmitted guards against revisions that lose their era on the way to another proxy, which takes them for
+// older than all that it knows.
+func TestErasAreTransmitted(t *testing.T) {
+	address, _ := serveHost(t, &fakeHost{})
+	r := egret.Revision{Era: 3, Number: 9}
+	reply, err := newPool(t).RequestFence(t.Context(), address, "s", r)
+	if err != nil || reply.Newest != r || reply.Primary != "m1" {
+		t.Errorf("%+v %v", reply, err)
+	}
+}
+
 // TestLateChangesKeepStatements checks that a timeout of Changes doesn't end a statement that is running on the
 // same connection. On a link of low bandwidth, the answer to Changes may take longer than its timeout.
 func TestLateChangesKeepStatements(t *testing.T) {
@@ -214,14 +236,15 @@
 	defer s.Close()
 	answers := make(chan egret.Answer)
 	go func() { answers <- s.Do(context.Background(), egret.StatementRequest{Timeout: 5 * time.Second}) }()
-	if _, _, ok := p.Changes(t.Context(), address, "p/", 1); ok {
+	if _, ok := p.Changes(t.Context(), address, "p/", egret.Revision{Number: 1}); ok {
 		t.Error("Changes returned an answer after its timeout")
 	}
 	if a := <-answers; a.Fault.Kind != egret.FaultNone {
 		t.Errorf("the statement got %+v", a.Fault)
 	}
-	items, at, ok := p.Changes(t.Context(), address, "p/", 1)
-	if !ok || at != 4 || len(items) != 1 || string(items[0].Data) != "b" {
-		t.Errorf("got changes %v up to revision %d, %v", items, at, ok)
+	c, ok := p.Changes(t.Context(), address, "p/", egret.Revision{Number: 1})
+	want, _ := h.Changes("", egret.Revision{})
+	if d := cmp.Diff(want, c); !ok || d != "" {
+		t.Errorf("got changes %t (-want +got):\n%s", ok, d)
 	}
 }
--- a/link/pool.go
+++ b/link/pool.go
@@ -18,6 +18,7 @@
 	"egretlane.example/egret/internal/linkpb"
 	"egretlane.example/egret/lease"
 	"egretlane.example/egret/netopt"
+	"egretlane.example/egret/watch"
 )
 
 const (
@@ -218,15 +219,42 @@
 	return r, err
 }
 
-// Ping returns which process answers at the address, whether it is leaving, and which leases it has given up
-// (by their revisions).
-func (p *Pool) Ping(ctx context.Context, a netip.AddrPort) (*linkpb.PingReply, error) {
-	return callPeer(ctx, p, a, pingTimeout, &linkpb.PingRequest{}, linkpb.LinkClient.Ping)
+// PingReply is a proxy's answer to a ping.
+type PingReply struct {
+	// Node and Incarnation identify the process that answered.
+	Node, Incarnation string
+
+	// Leaving says that the process is shutting down.
+	Leaving bool
+
+	// GivenUp are the revisions of the leases of the process that have ended.
+	GivenUp []egret.Revision
+}
+
+// Ping returns which process answers at the address, whether it is leaving, and which leases it has given up.
+func (p *Pool) Ping(ctx context.Context, a netip.AddrPort) (PingReply, error) {
+	r, err := callPeer(ctx, p, a, pingTimeout, &linkpb.PingRequest{}, linkpb.LinkClient.Ping)
+	if err != nil {
+		return PingReply{}, err
+	}
+	reply := PingReply{
+		Node:        r.GetNode(),
+		Incarnation: r.GetIncarnation(),
+		Leaving:     r.GetLeaving(),
+	}
+	for i, number := range r.GetGivenUp() {
+		era := uint64(0)
+		if i < len(r.GetGivenUpEras()) {
+			era = r.GetGivenUpEras()[i]
+		}
+		reply.GivenUp = append(reply.GivenUp, revisionFromWire(era, number))
+	}
+	return reply, nil
 }
 
 // PingFreshConn is like Ping, but replaces the connection first unless the proxy has answered within the time
 // and has left no request unanswered. The old connection may be in a backoff, or broken without an error.
-func (p *Pool) PingFreshConn(ctx context.Context, a netip.AddrPort, within time.Duration) (*linkpb.PingReply, error) {
+func (p *Pool) PingFreshConn(ctx context.Context, a netip.AddrPort, within time.Duration) (PingReply, error) {
 	p.mu.Lock()
 	e := p.peers[a]
 	stale := e != nil && (e.unansweredSince != 0 || clock.Since(e.lastAnswer) > within)
@@ -244,7 +272,8 @@
 func (p *Pool) RequestPromise(ctx context.Context, a netip.AddrPort, service string, q lease.Promise) (bool, error) {
 	r, err := callPeer(ctx, p, a, pingTimeout, &linkpb.PromiseRequest{
 		Service:    service,
-		Revision:   q.Revision,
+		Revision:   q.Revision.Number,
+		Era:        q.Revision.Era,
 		DurationNs: int64(q.Duration),
 		Primary:    q.Intent.Primary,
 		Order:      q.Intent.Order,
@@ -253,15 +282,20 @@
 }
 
 // RequestFence asks the proxy to refuse further promises to holders whose records are older than the revision.
-// It returns how long an earlier promise is still in force, and the newest primary that came with one.
-func (p *Pool) RequestFence(ctx context.Context, a netip.AddrPort, service string, revision uint64) (time.Duration, lease.Intent, error) {
+func (p *Pool) RequestFence(ctx context.Context, a netip.AddrPort, service string, revision egret.Revision) (lease.FenceReply, error) {
 	r, err := callPeer(ctx, p, a, pingTimeout, &linkpb.ClearRequest{
 		Service:  service,
-		Revision: revision,
+		Revision: revision.Number,
+		Era:      revision.Era,
 	}, linkpb.LinkClient.Clear)
-	return time.Duration(r.GetLeftNs()), lease.Intent{
-		Primary: r.GetPrimary(),
-		Order:   r.GetOrder(),
+	return lease.FenceReply{
+		Remaining: time.Duration(r.GetLeftNs()),
+		Intent: lease.Intent{
+			Primary: r.GetPrimary(),
+			Order:   r.GetOrder(),
+		},
+		Newest:  revisionFromWire(r.GetKnownEra(), r.GetKnownRevision()),
+		Primary: r.GetKnownPrimary(),
 	}, err
 }
 
@@ -275,11 +309,11 @@
 }
 
 // Changes asks the proxy for the changes in the store that it has seen below the prefix after the revision. It
-// returns them with the revision to go on from, and reports false if the proxy can't tell or doesn't answer.
-func (p *Pool) Changes(ctx context.Context, a netip.AddrPort, prefix string, after uint64) ([]egret.Item, uint64, bool) {
+// reports false if the proxy can't tell or doesn't answer.
+func (p *Pool) Changes(ctx context.Context, a netip.AddrPort, prefix string, after egret.Revision) (watch.Changes, bool) {
 	e, err := p.peerFor(a)
 	if err != nil {
-		return nil, 0, false
+		return watch.Changes{}, false
 	}
 	p.mu.Lock()
 	client := e.client
@@ -290,26 +324,31 @@
 	defer cancel()
 	r, err := client.Changes(ctx, &linkpb.ChangesRequest{
 		Prefix: prefix,
-		After:  after,
+		After:  after.Number,
+		Era:    after.Era,
 	}, grpc.UseCompressor(gzip.Name))
 	if err != nil {
 		p.pingIfDue(a)
-		return nil, 0, false
+		return watch.Changes{}, false
 	}
 	p.recordAnswer(e)
 	if !r.GetFresh() {
-		return nil, 0, false
+		return watch.Changes{}, false
+	}
+	c := watch.Changes{
+		Items: []egret.Item{},
+		At:    revisionFromWire(r.GetEra(), r.GetAt()),
+		All:   r.GetAll(),
 	}
-	items := []egret.Item{}
 	for _, m := range r.GetItems() {
-		items = append(items, egret.Item{
+		c.Items = append(c.Items, egret.Item{
 			Key:      m.GetKey(),
 			Data:     m.GetData(),
-			Revision: m.GetRevision(),
+			Revision: revisionFromWire(r.GetEra(), m.GetRevision()),
 			Removed:  m.GetRemoved(),
 		})
 	}
-	return items, r.GetAt(), true
+	return c, true
 }
 
 // pingIfDue pings the proxy, unless it has done so within minCheckInterval. If the ping times out, the
--- a/link/server.go
+++ b/link/server.go
@@ -13,6 +13,7 @@
 	"egretlane.example/egret/internal/linkpb"
 	"egretlane.example/egret/lease"
 	"egretlane.example/egret/spans"
+	"egretlane.example/egret/watch"
 )
 
 // Host is the process whose calls a Server handles.
@@ -27,7 +28,7 @@
 	Leaving() bool
 
 	// GivenUpRevisions returns the revisions of the leases of this process that have ended.
-	GivenUpRevisions() []uint64
+	GivenUpRevisions() []egret.Revision
 
 	// PeerStream returns a stream for statements from another proxy. If mayForward is set, it may forward
 	// them to the holder of the service.
@@ -37,16 +38,15 @@
 	// whether the promise was given.
 	GrantPromise(service string, q lease.Promise) bool
 
-	// Fence refuses further promises to holders whose records are older than the revision. It returns how
-	// long an earlier promise is still in force, and the newest primary that came with one.
-	Fence(service string, revision uint64) (time.Duration, lease.Intent)
+	// Fence refuses further promises to holders whose records are older than the revision.
+	Fence(service string, revision egret.Revision) lease.FenceReply
 
 	// PingPeer pings the proxy at the address and returns its incarnation.
 	PingPeer(ctx context.Context, a netip.AddrPort) (string, error)
 
 	// Changes returns the changes in the store that the process has seen below the prefix after the
-	// revision, and the revision to go on from. It reports false if it can't tell them.
-	Changes(prefix string, after uint64) ([]egret.Item, uint64, bool)
+	// revision. It reports false if it can't tell them.
+	Changes(prefix string, after egret.Revision) (watch.Changes, bool)
 }
 
 // Server handles the calls of other proxies.
@@ -96,19 +96,23 @@
 
 // Ping returns the identity and the state of the process.
 func (s *Server) Ping(context.Context, *linkpb.PingRequest) (*linkpb.PingReply, error) {
-	return &linkpb.PingReply{
+	reply := &linkpb.PingReply{
 		Node:        s.Host.NodeID(),
 		Incarnation: s.Host.Incarnation(),
 		Leaving:     s.Host.Leaving(),
-		GivenUp:     s.Host.GivenUpRevisions(),
-	}, nil
+	}
+	for _, r := range s.Host.GivenUpRevisions() {
+		reply.GivenUp = append(reply.GivenUp, r.Number)
+		reply.GivenUpEras = append(reply.GivenUpEras, r.Era)
+	}
+	return reply, nil
 }
 
 // Promise asks the host for a promise to the holder of a service.
 func (s *Server) Promise(_ context.Context, r *linkpb.PromiseRequest) (*linkpb.PromiseReply, error) {
 	return &linkpb.PromiseReply{
 		Granted: s.Host.GrantPromise(r.GetService(), lease.Promise{
-			Revision: r.GetRevision(),
+			Revision: revisionFromWire(r.GetEra(), r.GetRevision()),
 			Duration: time.Duration(r.GetDurationNs()),
 			Intent: lease.Intent{
 				Primary: r.GetPrimary(),
@@ -120,11 +124,14 @@
 
 // Clear has the host refuse further promises to former holders of a service.
 func (s *Server) Clear(_ context.Context, r *linkpb.ClearRequest) (*linkpb.ClearReply, error) {
-	left, intent := s.Host.Fence(r.GetService(), r.GetRevision())
+	reply := s.Host.Fence(r.GetService(), revisionFromWire(r.GetEra(), r.GetRevision()))
 	return &linkpb.ClearReply{
-		LeftNs:  int64(left),
-		Primary: intent.Primary,
-		Order:   intent.Order,
+		LeftNs:        int64(reply.Remaining),
+		Primary:       reply.Intent.Primary,
+		Order:         reply.Intent.Order,
+		KnownRevision: reply.Newest.Number,
+		KnownEra:      reply.Newest.Era,
+		KnownPrimary:  reply.Primary,
 	}, nil
 }
 
@@ -143,18 +150,27 @@
 
 // Changes returns the changes in the store that the host has seen.
 func (s *Server) Changes(_ context.Context, r *linkpb.ChangesRequest) (*linkpb.ChangesReply, error) {
-	items, at, fresh := s.Host.Changes(r.GetPrefix(), r.GetAfter())
+	c, fresh := s.Host.Changes(r.GetPrefix(), revisionFromWire(r.GetEra(), r.GetAfter()))
 	reply := &linkpb.ChangesReply{
 		Fresh: fresh,
-		At:    at,
+		At:    c.At.Number,
+		Era:   c.At.Era,
+		All:   c.All,
 	}
-	for _, item := range items {
+	for _, item := range c.Items {
 		reply.Items = append(reply.Items, &linkpb.Item{
 			Key:      item.Key,
-			Revision: item.Revision,
+			Revision: item.Revision.Number,
 			Data:     item.Data,
 			Removed:  item.Removed,
 		})
 	}
 	return reply, nil
 }
+
+func revisionFromWire(era, number uint64) egret.Revision {
+	return egret.Revision{
+		Era:    era,
+		Number: number,
+	}
+}
--- a/watch/log.go
+++ b/watch/log.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -36,28 +35,30 @@
 	removed []string
 
 	// startRevision and endRevision bound the revisions between which all changes are known. The change at
-	// startRevision itself isn't among them.
-	startRevision, endRevision uint64
+	// startRevision itself isn't among them. Both are of the same era, and so are the revisions of all items.
+	startRevision, endRevision egret.Revision
 
 	// storeResponseAt is when the store itself responded last.
 	storeResponseAt clock.Time
 }
 
-// replace replaces the content by all items at a revision.
-func (l *changeLog) replace(items []egret.Item, revision uint64) {
+// replace replaces the content by all items at a revision. fromStore is as in add.
+func (l *changeLog) replace(items []egret.Item, revision egret.Revision, fromStore bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.items = map[string]egret.Item{}
 	l.removed = nil
 	l.startRevision, l.endRevision = revision, revision
-	l.storeResponseAt = clock.Now()
+	if fromStore {
+		l.storeResponseAt = clock.Now()
+	}
 	for _, item := range items {
 		l.items[item.Key] = item
 	}
 }
 
 // add adds the changes up to a revision. fromStore says that they come from the store and not from another process.
-func (l *changeLog) add(items []egret.Item, revision uint64, fromStore bool) {
+func (l *changeLog) add(items []egret.Item, revision egret.Revision, fromStore bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.items == nil {
@@ -66,7 +67,7 @@
 		l.startRevision = revision
 	}
 	for _, item := range items {
-		if item.Revision < l.items[item.Key].Revision {
+		if item.Revision.Before(l.items[item.Key].Revision) {
 			continue
 		}
 		l.items[item.Key] = item
@@ -78,37 +79,56 @@
 		key := l.removed[0]
 		l.removed = l.removed[1:]
 		if item := l.items[key]; item.Removed {
-			l.startRevision = max(l.startRevision, item.Revision)
+			l.startRevision = later(l.startRevision, item.Revision)
 			delete(l.items, key)
 		}
 	}
-	l.endRevision = max(l.endRevision, revision)
+	l.endRevision = later(l.endRevision, revision)
 	if fromStore {
 		l.storeResponseAt = clock.Now()
 	}
 }
 
-// changesAfter returns the oldest changes after the revision that fit into one response, and the revision up to
-// which they are complete. It returns false if not all changes are known, or if the store's last response is older
-// than storeFreshness. After revision zero it returns all items at once: removals before the list aren't known, so
-// a process that has only some of the items can't continue from there.
-func (l *changeLog) changesAfter(revision uint64) ([]egret.Item, uint64, bool) {
+// later returns the later of two revisions.
+func later(a, b egret.Revision) egret.Revision {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// changesAfter returns the oldest changes after the revision that fit into one response. It returns false if not all
+// changes are known, or if the store's last response is older than storeFreshness. After the zero revision it returns all
+// items at once: removals before the list aren't known, so a process that has only some of the items can't continue from
+// there. After a revision of an earlier era it returns all items too, as changes of that era may be lost.
+func (l *changeLog) changesAfter(revision egret.Revision) (Changes, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.items == nil || clock.Since(l.storeResponseAt) > storeFreshness || revision != 0 && revision < l.startRevision {
-		return nil, 0, false
+	restored := revision.Exists() && revision.Era < l.endRevision.Era
+	if restored && revision.Era == 0 {
+		// A process of an earlier version knows no eras, and would take all items for changes.
+		return Changes{}, false
+	}
+	if l.items == nil || clock.Since(l.storeResponseAt) > storeFreshness || revision.Era > l.endRevision.Era ||
+		revision.Exists() && !restored && revision.Before(l.startRevision) {
+		return Changes{}, false
 	}
 	items := []egret.Item{}
 	for _, item := range l.items {
-		if item.Revision > revision {
+		if revision.Before(item.Revision) && (!restored || !item.Removed) {
 			items = append(items, item)
 		}
 	}
-	slices.SortFunc(items, func(a, b egret.Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	if n := batchLen(items); revision != 0 && n < len(items) {
-		return items[:n], items[n-1].Revision, true
+	slices.SortFunc(items, func(a, b egret.Item) int { return a.Revision.Compare(b.Revision) })
+	c := Changes{
+		Items: items,
+		At:    l.endRevision,
+		All:   restored,
+	}
+	if n := batchLen(items); revision.Exists() && !restored && n < len(items) {
+		c.Items, c.At = items[:n], items[n-1].Revision
 	}
-	return items, l.endRevision, true
+	return c, true
 }
 
 // batchLen returns how many of the items fit into one response: at least one if there are any, and all items of a
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -4,7 +4,7 @@
 //	w := watch.Watcher{
 //		Keys:   store,
 //		Prefix: "servers/",
-//		Reset:  func(items []egret.Item) { ... },
+//		Reset:  func(items []egret.Item, at egret.Revision) { ... },
 //		Change: func(item egret.Item) { ... },
 //	}
 //	go w.Run(ctx)
@@ -67,15 +67,16 @@
 	// Prefix is the common prefix of the watched keys.
 	Prefix string
 
-	// Reset is called with all items, at the start and after a gap in the history.
-	Reset func(items []egret.Item)
+	// Reset is called with all items and the revision at which they were read: at the start, after a gap in the history,
+	// and after the store was restored from an older copy. Then the items may be older than those that were known.
+	Reset func(items []egret.Item, at egret.Revision)
 
 	// Change is called with each item that was changed or removed.
 	Change func(item egret.Item)
 
-	// ChangesFromPeer requests the changes after a revision from another process. It returns them with the revision to
-	// continue from, or false if that process doesn't know them. It may be nil.
-	ChangesFromPeer func(ctx context.Context, prefix string, after uint64) ([]egret.Item, uint64, bool)
+	// ChangesFromPeer requests the changes after a revision from another process. It returns false if that process
+	// doesn't know them. It may be nil.
+	ChangesFromPeer func(ctx context.Context, prefix string, after egret.Revision) (Changes, bool)
 
 	// WatchesStore reports whether this process should call the store although others could give it the changes.
 	// Nil stands for always.
@@ -110,38 +111,50 @@
 	changes changeLog
 }
 
+// Changes are changes of keys that a process has seen.
+type Changes struct {
+	// Items are the changed keys, the oldest change first.
+	Items []egret.Item
+
+	// At is the revision up to which the changes are complete.
+	At egret.Revision
+
+	// All says that Items are all keys that there are, as the store was restored after the requested revision.
+	All bool
+}
+
 // Run watches the keys until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		items, revision, err := w.Keys.List(ctx, w.Prefix)
 		if w.handleResult(ctx, err) {
 			if w.StartFromPeer {
-				w.follow(ctx, 0)
+				w.follow(ctx, egret.Revision{})
 			}
 			continue
 		}
-		w.EventLog.Event("keys-listed").Str("prefix", w.Prefix).Int("items", len(items)).Uint64("revision", revision).Msg("listed all keys")
-		w.changes.replace(items, revision)
-		w.Reset(items)
+		w.EventLog.Event("keys-listed").Str("prefix", w.Prefix).Int("items", len(items)).Str("revision", revision.String()).Msg("listed all keys")
+		w.changes.replace(items, revision, true)
+		w.Reset(items, revision)
 		w.follow(ctx, revision)
 	}
 	return nil
 }
 
-// follow delivers the changes after the revision until the history has a gap. After revision zero it returns
+// follow delivers the changes after the revision until the history has a gap. After the zero revision it returns
 // without a call to the store if no other process gives the items.
-func (w *Watcher) follow(ctx context.Context, revision uint64) {
+func (w *Watcher) follow(ctx context.Context, revision egret.Revision) {
 	for ctx.Err() == nil {
 		direct := w.WatchesStore == nil || w.WatchesStore()
 		if w.ChangesFromPeer != nil && (!direct || w.storeFailing.Load()) {
-			items, next, ok := w.ChangesFromPeer(ctx, w.Prefix, revision)
+			c, ok := w.ChangesFromPeer(ctx, w.Prefix, revision)
 			interval := peerInterval
-			if ok {
-				if len(items) > 0 {
+			if ok && c.At.Era >= revision.Era {
+				if len(c.Items) > 0 {
 					// There may be more changes than fit into one response.
 					interval = peerBatchInterval
 				}
-				revision = w.apply(items, max(revision, next), false)
+				revision = w.applyFromPeer(c, revision)
 				w.peerResponseAt = clock.Now()
 				w.storeConfirmed = false
 				w.storeRetryAt = w.peerResponseAt.Add(peerTimeout)
@@ -152,7 +165,7 @@
 				continue
 			}
 		}
-		if revision == 0 {
+		if !revision.Exists() {
 			return
 		}
 		items, next, err := w.Keys.Watch(ctx, w.Prefix, revision, w.changesTimeout(direct))
@@ -160,7 +173,7 @@
 			w.storeRetryAt = clock.Now().Add(storeRetryInterval/2 + rand.N(storeRetryInterval))
 		}
 		if errors.Is(err, egret.ErrCompacted) {
-			w.EventLog.Event("history-gone").Str("prefix", w.Prefix).Uint64("after", revision).Msg("the store no longer has the changes after this revision; listing all keys")
+			w.EventLog.Event("history-gone").Str("prefix", w.Prefix).Str("after", revision.String()).Err(err).Msg("the store doesn't have the changes after this revision; listing all keys")
 			return
 		}
 		if w.handleResult(ctx, err) {
@@ -181,9 +194,23 @@
 	return pollTimeout
 }
 
+// applyFromPeer delivers what another process gave after the revision, and returns the revision to continue from.
+func (w *Watcher) applyFromPeer(c Changes, after egret.Revision) egret.Revision {
+	if !c.All {
+		if c.At.Before(after) {
+			return w.apply(c.Items, after, false)
+		}
+		return w.apply(c.Items, c.At, false)
+	}
+	w.EventLog.Event("store-restored").Str("prefix", w.Prefix).Str("before", after.String()).Str("revision", c.At.String()).Msg("another process has seen that the store was restored from a copy")
+	w.changes.replace(c.Items, c.At, false)
+	w.Reset(c.Items, c.At)
+	return c.At
+}
+
 // apply delivers the changes up to the revision, and returns the revision. fromStore says that they come from the
 // store and not from another process.
-func (w *Watcher) apply(items []egret.Item, revision uint64, fromStore bool) uint64 {
+func (w *Watcher) apply(items []egret.Item, revision egret.Revision, fromStore bool) egret.Revision {
 	w.changes.add(items, revision, fromStore)
 	for _, item := range items {
 		w.Change(item)
@@ -191,11 +218,11 @@
 	return revision
 }
 
-// ChangesAfter returns changes after the revision, and the revision up to which they are complete. It returns false if
-// this process gets no response from the store itself, or doesn't know the history that far back.
-func (w *Watcher) ChangesAfter(after uint64) ([]egret.Item, uint64, bool) {
+// ChangesAfter returns changes after the revision. It returns false if this process gets no response from the store
+// itself, or doesn't know the history that far back.
+func (w *Watcher) ChangesAfter(after egret.Revision) (Changes, bool) {
 	if w.storeFailing.Load() {
-		return nil, 0, false
+		return Changes{}, false
 	}
 	return w.changes.changesAfter(after)
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -14,35 +14,40 @@
 	"egretlane.example/egret"
 )
 
+// at returns a revision of a store without eras.
+func at(number uint64) egret.Revision {
+	return egret.Revision{Number: number}
+}
+
 // scriptedKeys is a store that returns scripted responses. It records the arguments of Watch.
 type scriptedKeys struct {
 	egret.Keyspace
 	mu        sync.Mutex
 	lists     [][]egret.Item
-	steps     []func() ([]egret.Item, uint64, error)
-	revisions []uint64
+	steps     []func() ([]egret.Item, egret.Revision, error)
+	revisions []egret.Revision
 	timeouts  []time.Duration
 }
 
-func (k *scriptedKeys) List(context.Context, string) ([]egret.Item, uint64, error) {
+func (k *scriptedKeys) List(context.Context, string) ([]egret.Item, egret.Revision, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.lists) == 0 {
-		return nil, 0, errors.New("down")
+		return nil, egret.Revision{}, errors.New("down")
 	}
 	list := k.lists[0]
 	k.lists = k.lists[1:]
-	return list, 10, nil
+	return list, at(10), nil
 }
 
-func (k *scriptedKeys) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]egret.Item, uint64, error) {
+func (k *scriptedKeys) Watch(ctx context.Context, _ string, after egret.Revision, wait time.Duration) ([]egret.Item, egret.Revision, error) {
 	k.mu.Lock()
 	k.revisions = append(k.revisions, after)
 	k.timeouts = append(k.timeouts, wait)
 	if len(k.steps) == 0 {
 		k.mu.Unlock()
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, egret.Revision{}, ctx.Err()
 	}
 	step := k.steps[0]
 	k.steps = k.steps[1:]
@@ -55,14 +60,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	k := &scriptedKeys{
-		lists: [][]egret.Item{{{Key: "p/a", Revision: 3}}, {{Key: "p/b", Revision: 20}}},
-		steps: []func() ([]egret.Item, uint64, error){
-			func() ([]egret.Item, uint64, error) { return []egret.Item{{Key: "p/c", Revision: 12}}, 12, nil },
-			func() ([]egret.Item, uint64, error) { return nil, 0, errors.New("cut") },
-			func() ([]egret.Item, uint64, error) { return nil, 14, nil },
-			func() ([]egret.Item, uint64, error) { return nil, 0, errors.Trace(egret.ErrCompacted) },
-			func() ([]egret.Item, uint64, error) {
-				return []egret.Item{{Key: "p/b", Revision: 21, Removed: true}}, 21, nil
+		lists: [][]egret.Item{{{Key: "p/a", Revision: egret.Revision{Number: 3}}}, {{Key: "p/b", Revision: egret.Revision{Number: 20}}}},
+		steps: []func() ([]egret.Item, egret.Revision, error){
+			func() ([]egret.Item, egret.Revision, error) {
+				return []egret.Item{{Key: "p/c", Revision: egret.Revision{Number: 12}}}, at(12), nil
+			},
+			func() ([]egret.Item, egret.Revision, error) { return nil, at(0), errors.New("cut") },
+			func() ([]egret.Item, egret.Revision, error) { return nil, at(14), nil },
+			func() ([]egret.Item, egret.Revision, error) { return nil, at(0), errors.Trace(egret.ErrCompacted) },
+			func() ([]egret.Item, egret.Revision, error) {
+				return []egret.Item{{Key: "p/b", Revision: egret.Revision{Number: 21}, Removed: true}}, at(21), nil
 			},
 		},
 	}
@@ -70,7 +77,7 @@
 	w := Watcher{
 		Keys:           k,
 		Prefix:         "p/",
-		Reset:          func(items []egret.Item) { events <- fmt.Sprint("reset ", items[0].Key) },
+		Reset:          func(items []egret.Item, _ egret.Revision) { events <- fmt.Sprint("reset ", items[0].Key) },
 		Change:         func(item egret.Item) { events <- fmt.Sprint("change ", item.Key, " ", item.Removed) },
 		OnDisconnected: func() { events <- "lost" },
 		OnReconnected:  func() { events <- "regained" },
@@ -91,7 +98,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if want := []uint64{10, 12, 12, 14, 10}; !slices.Equal(k.revisions[:5], want) {
+	if want := []egret.Revision{at(10), at(12), at(12), at(14), at(10)}; !slices.Equal(k.revisions[:5], want) {
 		t.Errorf("requested changes after %v, want %v", k.revisions, want)
 	}
 	// A store that is back doesn't respond to calls that it missed, so the call after a failed one must be short.
@@ -105,14 +112,14 @@
 func peerWatch(up *atomic.Bool, calls *atomic.Int64, events chan<- string) *Watcher {
 	return &Watcher{
 		Keys: &failingKeys{
-			scriptedKeys: &scriptedKeys{lists: [][]egret.Item{{{Key: "p/a", Revision: 3}}}},
+			scriptedKeys: &scriptedKeys{lists: [][]egret.Item{{{Key: "p/a", Revision: egret.Revision{Number: 3}}}}},
 			calls:        calls,
 		},
 		Prefix: "p/",
-		Reset:  func([]egret.Item) {},
+		Reset:  func([]egret.Item, egret.Revision) {},
 		Change: func(egret.Item) {},
-		ChangesFromPeer: func(context.Context, string, uint64) ([]egret.Item, uint64, bool) {
-			return nil, 11, up.Load()
+		ChangesFromPeer: func(context.Context, string, egret.Revision) (Changes, bool) {
+			return Changes{At: at(11)}, up.Load()
 		},
 		WatchesStore:   func() bool { return false },
 		OnDisconnected: func() { events <- "lost" },
@@ -126,9 +133,9 @@
 	calls *atomic.Int64
 }
 
-func (k *failingKeys) Watch(context.Context, string, uint64, time.Duration) ([]egret.Item, uint64, error) {
+func (k *failingKeys) Watch(context.Context, string, egret.Revision, time.Duration) ([]egret.Item, egret.Revision, error) {
 	k.calls.Add(1)
-	return nil, 0, errors.New("refused")
+	return nil, at(0), errors.New("refused")
 }
 
 // TestPeersEndDisconnection checks that a process that relies on others counts the store as reachable once they
@@ -181,12 +188,12 @@
 	*scriptedKeys
 }
 
-func (k *silentKeys) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]egret.Item, uint64, error) {
+func (k *silentKeys) Watch(ctx context.Context, _ string, _ egret.Revision, wait time.Duration) ([]egret.Item, egret.Revision, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, 0, errors.New("no answer")
+	return nil, at(0), errors.New("no answer")
 }
 
 // TestPartitionIsNoticedSoon guards against a process that relies on others and waits for a whole call to a silent store
@@ -198,7 +205,7 @@
 	up.Store(true)
 	w := peerWatch(&up, &atomic.Int64{}, events)
 	w.Keys = &silentKeys{
-		scriptedKeys: &scriptedKeys{lists: [][]egret.Item{{{Key: "p/a", Revision: 3}}}},
+		scriptedKeys: &scriptedKeys{lists: [][]egret.Item{{{Key: "p/a", Revision: egret.Revision{Number: 3}}}}},
 	}
 	go func() { _ = w.Run(ctx) }()
 	time.Sleep(3 * peerInterval)
@@ -213,3 +220,44 @@
 		t.Errorf("the partition was noticed after %s", elapsed)
 	}
 }
+
+// TestRestoreIsLearnedFromPeers guards against a process that is cut off from the store and takes what its peers read from a
+// restored store for changes of what it knows, or old news of a peer that hasn't seen the restore for new ones.
+func TestRestoreIsLearnedFromPeers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	up, events := atomic.Bool{}, make(chan string, 16)
+	w := peerWatch(&up, &atomic.Int64{}, events)
+	restored := egret.Revision{Era: 1, Number: 2}
+	w.ChangesFromPeer = func(_ context.Context, _ string, after egret.Revision) (Changes, bool) {
+		if after.Era == 0 {
+			return Changes{
+				Items: []egret.Item{{Key: "p/b", Revision: restored}},
+				At:    restored,
+				All:   true,
+			}, true
+		}
+		return Changes{
+			Items: []egret.Item{{Key: "p/a", Revision: at(12)}},
+			At:    at(12),
+		}, true
+	}
+	resets, changes := make(chan egret.Revision, 4), atomic.Int64{}
+	w.Reset = func(_ []egret.Item, revision egret.Revision) { resets <- revision }
+	w.Change = func(egret.Item) { changes.Add(1) }
+	go func() { _ = w.Run(ctx) }()
+	for _, want := range []egret.Revision{at(10), restored} {
+		select {
+		case got := <-resets:
+			if got != want {
+				t.Errorf("reset at %s, want %s", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no reset at %s", want)
+		}
+	}
+	time.Sleep(3 * peerInterval)
+	if n := changes.Load(); n != 0 {
+		t.Errorf("%d changes of an earlier era were delivered", n)
+	}
+}
