lease, group: a restored record names no primary for certain

After a restore of the store, a successor may take a record that was written before the last promotion, and with it the primary that was replaced since. As no other member is treated as the primary than the recorded one, callers' writes would be acknowledged there and lost.

A holder that acquired the service over a record of an earlier era marks the primary in its own record as uncertain. It then goes by the members: it records and adopts the one that reports itself primary in the highest term, has others demoted, and promotes one if there is none. A promotion, or the record of the one that was found, ends the mark. A holder that writes its own record again is certain.

TestUncertainRecordBringsBackNoPrimary failed without the change of group: the write was acknowledged by the old primary of term 1 beside one of term 2.

--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -144,6 +144,33 @@
 	}
 }
 
+// TestUncertainRecordBringsBackNoPrimary guards against writes at a primary that was replaced, as a restored store has lost
+// the record of the last promotion.
+func TestUncertainRecordBringsBackNoPrimary(t *testing.T) {
+	s := newFakeService()
+	s.member("b", func(m *fakeMember) {
+		m.role, m.term = egret.RolePrimary, 2
+		m.position = egret.Position{Term: 2, Offset: 12}
+	})
+	l, h := startLane(t, s)
+	h.mu.Lock()
+	h.primary, h.uncertain = "a", true
+	h.mu.Unlock()
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone || a.Member != "b" {
+		t.Errorf("write: %+v, want b to answer", a)
+	}
+	if p := h.Primary(); p != "b" || h.PrimaryUncertain() {
+		t.Errorf("%q is recorded as the primary, uncertain: %t", p, h.PrimaryUncertain())
+	}
+	eventually(t, "demotion of the old primary", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.members["a"].role == egret.RoleReplica
+	})
+}
+
 // TestWriteWithoutAnswerRunsOnce loses the answer to a write, which must not be sent again.
 func TestWriteWithoutAnswerRunsOnce(t *testing.T) {
 	s := newFakeService()
--- a/group/primary.go
+++ b/group/primary.go
@@ -61,8 +61,11 @@
 // process took over the service, after the primary refused a write, and after a replacement of the primary failed.
 func (l *Lane) findPrimary(ctx context.Context) {
 	began := clock.Now()
-	recorded := l.Lease.Primary()
 	for ctx.Err() == nil && l.Lease.Valid() {
+		recorded, uncertain := l.Lease.Primary(), l.Lease.PrimaryUncertain()
+		if uncertain {
+			recorded = ""
+		}
 		reports := l.askMembers(ctx)
 		best := -1
 		for i, r := range reports {
@@ -73,6 +76,10 @@
 				best = i
 			}
 		}
+		if best >= 0 && uncertain && !l.recordFound(ctx, reports, reports[best]) {
+			l.sleep(ctx, maintenanceInterval/2)
+			continue
+		}
 		if best >= 0 {
 			l.adoptPrimary(reports[best], began, "found")
 			return
@@ -85,6 +92,23 @@
 	}
 }
 
+// recordFound records the primary that was found although another one may be recorded, and has other members that report
+// themselves primary demoted. It reports whether the primary could be recorded.
+func (l *Lane) recordFound(ctx context.Context, reports []statusReport, found statusReport) bool {
+	if err := l.Lease.SetPrimary(ctx, found.id); err != nil {
+		l.EventLog.Event("primary-unrecorded").Str("service", l.Service).Str("member", found.id).Err(err).Msg("could not record the primary that was found")
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range reports {
+		if r.err == nil && r.status.Role == egret.RolePrimary && r.id != found.id {
+			l.superseded[r.id] = found.status.Term
+		}
+	}
+	return true
+}
+
 // promotionNeeded reports whether a replica has to be promoted because no member is going to report itself primary.
 func (l *Lane) promotionNeeded(reports []statusReport, recorded string, waited time.Duration) bool {
 	for _, r := range reports {
--- a/lease.go
+++ b/lease.go
@@ -24,6 +24,10 @@
 	// Primary returns the member that was promoted last, or "" if none ever was.
 	Primary() string
 
+	// PrimaryUncertain reports that the platform's store was restored from an older copy since Primary was recorded, so
+	// that another member may have been promoted last.
+	PrimaryUncertain() bool
+
 	// SetPrimary records that the member is about to be promoted. Later holders treat no other member
 	// as the primary.
 	SetPrimary(ctx context.Context, member string) error
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -147,6 +147,7 @@
 	record.Voters = l.Peers.Voters()
 	record.Awaits = slices.Clone(former.Record.Awaits)
 	record.AwaitsUnknown = former.Record.AwaitsUnknown || restored
+	record.PrimaryUncertain = record.PrimaryUncertain || restored
 	first := l.Bootstrap && !former.Stored.Exists() && former.Record.Node == "" && !restored
 	awaitFormer := !why.holderStopped && !first
 	if awaitFormer {
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -89,10 +89,6 @@
 
 	// Intent is the newest intent that the voter received.
 	Intent Intent
-
-	// Newest is the revision of the newest record of the service that the voter knows, and Primary the primary in it.
-	Newest  egret.Revision
-	Primary string
 }
 
 // Fence fences the holders with a lower revision: from now on, this process refuses promises to them.
@@ -107,8 +103,6 @@
 	return FenceReply{
 		Remaining: max(0, clock.Until(expiry)),
 		Intent:    l.voter.intent,
-		Newest:    l.newest,
-		Primary:   l.latest.Record.Primary,
 	}
 }
 
@@ -205,11 +199,7 @@
 func (l *Lease) fenceFormerHolders(ctx context.Context) {
 	l.mu.Lock()
 	revision, acquiredAt := l.heldRevision, l.acquiredAt
-	promisedUntil := l.voter.promisedUntil
-	newest := FenceReply{
-		Intent: l.voter.intent,
-		Newest: l.replaced.Revision,
-	}
+	promisedUntil, intent := l.voter.promisedUntil, l.voter.intent
 	lists, own := slices.Clone(l.awaitedVoters), l.latest.Record.Voters
 	everyone := []Voter{}
 	if l.awaitsUnknown {
@@ -226,11 +216,8 @@
 		mu.Lock()
 		defer mu.Unlock()
 		expiry = max(expiry, clock.Now().Add(reply.Remaining))
-		if reply.Intent.Order > newest.Intent.Order {
-			newest.Intent = reply.Intent
-		}
-		if newest.Newest.Before(reply.Newest) && reply.Newest.Before(revision) {
-			newest.Newest, newest.Primary = reply.Newest, reply.Primary
+		if reply.Intent.Order > intent.Order {
+			intent = reply.Intent
 		}
 		return true
 	})
@@ -257,19 +244,8 @@
 	}
 	l.awaitedVoters, l.awaitsUnknown = nil, false
 	l.usableFrom = max(l.usableFrom, expiry)
-	l.adoptNewest(newest)
-}
-
-// adoptNewest takes over the primary that the voters know from former holders, if this process doesn't know it: one that
-// was sent to them only, or that of a record which a restored store has lost. The caller holds mu.
-func (l *Lease) adoptNewest(newest FenceReply) {
-	switch {
-	case newest.Intent.Order > 0 && newest.Intent.Primary != l.latest.Record.Primary:
-		l.unwrittenIntent = newest.Intent
-	case newest.Primary != "" && newest.Primary != l.latest.Record.Primary:
-		l.unwrittenIntent = Intent{
-			Primary: newest.Primary,
-		}
+	if intent.Order > 0 && intent.Primary != l.latest.Record.Primary {
+		l.unwrittenIntent = intent
 	}
 }
 
--- a/lease/record.go
+++ b/lease/record.go
@@ -27,6 +27,10 @@
 	// Primary is the member that was made primary last, or "" if none ever was.
 	Primary string `json:"primary"`
 
+	// PrimaryUncertain says that Primary comes from a record that was written before the store was restored. Another member
+	// may have been promoted since.
+	PrimaryUncertain bool `json:"primary-uncertain,omitempty"`
+
 	// Voters are the processes whose promises can extend the lease while the store doesn't respond to the
 	// holder, sorted by node.
 	Voters []Voter `json:"voters"`
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -69,6 +69,13 @@
 	return l.latest.Record.Primary
 }
 
+// PrimaryUncertain reports that the store was restored since the primary was recorded.
+func (l *Lease) PrimaryUncertain() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unwrittenIntent.Primary == "" && l.latest.Record.PrimaryUncertain
+}
+
 // Release ends the lease and writes to the record that other processes may acquire it, the successor first. The
 // caller must have stopped using the service.
 func (l *Lease) Release(ctx context.Context, successor string) {
@@ -146,7 +153,7 @@
 	if !revision.Exists() {
 		return egret.ErrLeaseExpired
 	}
-	record.Primary = member
+	record.Primary, record.PrimaryUncertain = member, false
 	written, err := l.writeRecord(ctx, revision, record)
 	if err != nil {
 		return err
@@ -169,12 +176,13 @@
 		Primary:     l.latest.Record.Primary,
 		Voters:      l.latest.Record.Voters,
 	}
+	r.PrimaryUncertain = l.latest.Record.PrimaryUncertain
 	if l.heldRevision.Exists() && l.validUntil == 0 {
 		r.Awaits = l.latest.Record.Awaits
 		r.AwaitsUnknown = l.latest.Record.AwaitsUnknown
 	}
 	if l.unwrittenIntent.Primary != "" {
-		r.Primary = l.unwrittenIntent.Primary
+		r.Primary, r.PrimaryUncertain = l.unwrittenIntent.Primary, false
 	}
 	return r
 }
--- a/link/pool.go
+++ b/link/pool.go
@@ -294,8 +294,6 @@
 			Primary: r.GetPrimary(),
 			Order:   r.GetOrder(),
 		},
-		Newest:  revisionFromWire(r.GetKnownEra(), r.GetKnownRevision()),
-		Primary: r.GetKnownPrimary(),
 	}, err
 }
 
--- a/link/server.go
+++ b/link/server.go
@@ -126,12 +126,9 @@
 func (s *Server) Clear(_ context.Context, r *linkpb.ClearRequest) (*linkpb.ClearReply, error) {
 	reply := s.Host.Fence(r.GetService(), revisionFromWire(r.GetEra(), r.GetRevision()))
 	return &linkpb.ClearReply{
-		LeftNs:        int64(reply.Remaining),
-		Primary:       reply.Intent.Primary,
-		Order:         reply.Intent.Order,
-		KnownRevision: reply.Newest.Number,
-		KnownEra:      reply.Newest.Era,
-		KnownPrimary:  reply.Primary,
+		LeftNs:  int64(reply.Remaining),
+		Primary: reply.Intent.Primary,
+		Order:   reply.Intent.Order,
 	}, nil
 }
 
