mirror: a restored store takes no member back

After a restore of the store, members that have left or are leaving may get requests again: the copy has the entries that they wrote before, and holders replace all members by what they list.

The configuration doesn't have it: its own version orders it.

A member numbers its entries since its start. In a later era of the store, an entry with a lower number than one that was read is ignored, and so is one with the same number of a member that was removed. What the member writes afterwards counts.

TestRestoredStoreTakesNoMemberBack failed before: a member that was leaving was ready again, and one that had left was back.

--- a/egretlane/mirror/mirror.go
+++ b/egretlane/mirror/mirror.go
@@ -18,11 +18,16 @@
 	"time"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/clock"
 	"egretlane.example/egret/evlog"
 	"egretlane.example/egret/platform"
 	"egretlane.example/egret/watch"
 )
 
+// removedEntryAge is for how long it is known which entry of a member that has left was its last. A restored store comes back
+// from a copy that is some seconds old.
+const removedEntryAge = 10 * time.Minute
+
 // Mirror holds the current configuration and the registered members. Its exported fields up to EventLog are set before
 // Init.
 type Mirror struct {
@@ -56,6 +61,31 @@
 	// exists because there are many services, and each process looks up the primary of each several times a second.
 	members  map[string]egret.Backend
 	services map[string]map[string]egret.Backend
+
+	// entries has what is known of the newest entry of each member, also of those that have left.
+	entries map[string]entry
+}
+
+// entry is a member's entry in the store, without its content.
+type entry struct {
+	// start and sequence say which of the member's entries it is. The sequence is zero if the entry doesn't tell.
+	start    time.Time
+	sequence uint64
+
+	// era is the era of the store in which it was read.
+	era uint64
+
+	// removedAt is when the member left, or zero.
+	removedAt clock.Time
+}
+
+// newerThan reports whether the entry is newer than one that was read. Within an era, what is read last is the newest. A
+// restored store may have an older entry than before.
+func (e entry) newerThan(read entry) bool {
+	if e.era >= read.era || read.sequence == 0 || !e.start.Equal(read.start) {
+		return false
+	}
+	return read.sequence < e.sequence || read.sequence == e.sequence && e.removedAt != 0
 }
 
 // Init prepares the Mirror for use. It is called once, before any other method.
@@ -63,6 +93,7 @@
 	m.wakeups = make(chan struct{}, 1)
 	m.members = map[string]egret.Backend{}
 	m.services = map[string]map[string]egret.Backend{}
+	m.entries = map[string]entry{}
 	m.Operator = &watch.Watcher{
 		Keys:   m.Keys,
 		Prefix: platform.OperatorPrefix,
@@ -181,6 +212,11 @@
 	for _, b := range m.members {
 		services[b.Service] = true
 	}
+	for id, e := range m.entries {
+		if e.removedAt != 0 && clock.Since(e.removedAt) > removedEntryAge {
+			delete(m.entries, id)
+		}
+	}
 	m.members = map[string]egret.Backend{}
 	clear(m.services)
 	for _, b := range members {
@@ -200,6 +236,10 @@
 	m.mu.Unlock()
 	b, ok := m.decodeMember(item)
 	m.mu.Lock()
+	if e, found := m.entries[id]; item.Removed && found {
+		e.era, e.removedAt = item.Revision.Era, clock.Now()
+		m.entries[id] = e
+	}
 	m.removeLocked(id)
 	if ok {
 		m.putLocked(b)
@@ -232,16 +272,30 @@
 	}
 }
 
-// decodeMember decodes an entry. It returns false for a removed entry and for one that cannot be decoded.
+// decodeMember decodes an entry. It returns false for a removed entry and for one that cannot be decoded. If a restored store
+// has an older entry of the member than is known, it returns the member as it is known, or false if that has left.
 func (m *Mirror) decodeMember(item egret.Item) (egret.Backend, bool) {
 	if item.Removed {
 		return egret.Backend{}, false
 	}
-	b, err := platform.DecodeMember(item.Key, item.Data)
+	b, sequence, err := platform.DecodeMember(item.Key, item.Data)
 	if err != nil {
 		m.EventLog.Event("member-unreadable").Str("key", item.Key).Str("revision", item.Revision.String()).Err(err).Msg("cannot decode the entry of a member; the member is ignored")
 		return egret.Backend{}, false
 	}
+	read := entry{
+		start:    b.StartTime,
+		sequence: sequence,
+		era:      item.Revision.Era,
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entries[b.ID].newerThan(read) {
+		known, found := m.members[b.ID]
+		m.EventLog.Event("member-restored").Str("key", item.Key).Str("revision", item.Revision.String()).Uint64("sequence", sequence).Uint64("known", m.entries[b.ID].sequence).Msg("a restored store has an older entry of the member; it is ignored")
+		return known, found
+	}
+	m.entries[b.ID] = read
 	return b, true
 }
 
--- a/egretlane/mirror/mirror_test.go
+++ b/egretlane/mirror/mirror_test.go
@@ -63,6 +63,49 @@
 	}
 }
 
+// TestRestoredStoreTakesNoMemberBack guards against members that have left, or are leaving, and get requests again because a
+// restored store has an entry that they wrote before.
+func TestRestoredStoreTakesNoMemberBack(t *testing.T) {
+	c := newMirror(nil)
+	c.OnMembersChanged = func(string, []egret.Backend) {}
+	entry := func(id, state string, sequence int, r egret.Revision) egret.Item {
+		text := `{"service":"s","address":"10.0.0.1:80","capacity":2,"state":"%s","db_role":"replica","zone":"z","sequence":%d,"born":5}`
+		return egret.Item{
+			Key:      platform.MembersPrefix + id,
+			Data:     fmt.Appendf(nil, text, state, sequence),
+			Revision: r,
+		}
+	}
+	before := egret.Revision{Era: 1, Number: 50}
+	for _, id := range []string{"stays", "leaves", "left"} {
+		c.changeMember(entry(id, "ready", 10, before))
+	}
+	c.changeMember(entry("leaves", "draining", 11, before))
+	c.changeMember(egret.Item{Key: platform.MembersPrefix + "left", Removed: true, Revision: before})
+	copied := egret.Revision{Era: 2, Number: 20}
+	c.resetMembers([]egret.Item{
+		entry("stays", "ready", 8, copied),
+		entry("leaves", "ready", 8, copied),
+		entry("left", "ready", 8, copied),
+	})
+	states := func() map[string]bool {
+		draining := map[string]bool{}
+		for _, b := range c.MembersOf("s") {
+			draining[b.ID] = b.Draining
+		}
+		return draining
+	}
+	if got := states(); len(got) != 2 || got["stays"] || !got["leaves"] {
+		t.Errorf("after the restore, the members and whether they are leaving: %v", got)
+	}
+	written := egret.Revision{Era: 2, Number: 21}
+	c.changeMember(entry("leaves", "draining", 11, written))
+	c.changeMember(entry("left", "ready", 12, written))
+	if got := states(); len(got) != 3 || !got["leaves"] || got["left"] {
+		t.Errorf("after further entries, the members and whether they are leaving: %v", got)
+	}
+}
+
 // cutKeys is a store that lists the members once and refuses all calls after that.
 type cutKeys struct {
 	egret.Keyspace
