lease: a record that is missing after a restore may be a lost one

A process that starts after a restore of the store may take a service while its holder goes on with promises: the copy has no record of the service, which the process takes for one that never had a holder.

The rule holds in the first era only. In a later one, the process waits until promises of a lost holder have ended.

TestMissingRecordOfRestoredStoreIsWaitedFor failed before: the lease was valid after 1.6 s.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -148,7 +148,7 @@
 	record.Awaits = slices.Clone(former.Record.Awaits)
 	record.AwaitsUnknown = former.Record.AwaitsUnknown || restored
 	record.PrimaryUncertain = record.PrimaryUncertain || restored
-	first := l.Bootstrap && !former.Stored.Exists() && former.Record.Node == "" && !restored
+	first := l.Bootstrap && !former.Stored.Exists() && former.Record.Node == "" && former.Stored.Era <= firstEra
 	awaitFormer := !why.holderStopped && !first
 	if awaitFormer {
 		record.Awaits = append(record.Awaits, former.Record.Voters)
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -72,7 +72,7 @@
 			OnValid:   func(*Lease) func() { return func() {} },
 		}
 		l.Init()
-		l.Observe(egret.Item{Revision: egret.Revision{Era: 1}})
+		l.Observe(egret.Item{Revision: egret.Revision{Era: cl.revision.Era}})
 		cl.leases = append(cl.leases, l)
 	}
 	for _, l := range cl.leases {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -58,6 +58,9 @@
 	// process or of the store doesn't end it.
 	expiryGrace = 300 * time.Millisecond
 
+	// firstEra is the era of a store that was never restored. In a later one, a record that is missing may be lost.
+	firstEra = 1
+
 	// releaseTimeout bounds all attempts to write that a service is released.
 	releaseTimeout = time.Second
 )
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -379,6 +379,27 @@
 	}
 }
 
+// TestMissingRecordOfRestoredStoreIsWaitedFor guards against two holders: a process starts, takes a service without a record
+// for one that never had a holder, and doesn't wait for the holder whose record a restored store has lost.
+func TestMissingRecordOfRestoredStoreIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.revision.Era = 2
+	cl.start(t, 1)
+	l := cl.leases[0]
+	for deadline := time.Now().Add(5 * time.Second); !l.Acquired(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the process doesn't acquire the lease")
+		}
+	}
+	for began := time.Now(); time.Since(began) < maxExtension/2; time.Sleep(time.Millisecond) {
+		if l.Valid() {
+			t.Fatalf("the lease is valid after %v", time.Since(began))
+		}
+	}
+	cl.awaitHolder(t, "holder", maxExtension, func(*Lease) bool { return true })
+}
+
 // TestUnseenHolderKeepsLeaseAfterRestore guards against two holders: the store comes back from a copy, to processes that
 // know neither the holder nor its record, while that is cut off from the store and goes on with promises.
 func TestUnseenHolderKeepsLeaseAfterRestore(t *testing.T) {
