lease: the release of a service spares a store that refuses it

A process that stops while the store refuses its calls or its port is closed wrote the release of each service over and over without a pause, for a second.

Cause: only conflicts and successes end the loop, and nothing in it waits.

--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -34,6 +34,10 @@
 	// changesHidden says that watches of the store deliver no changes.
 	changesHidden bool
 
+	// refusing makes the store refuse all writes. refusals counts these.
+	refusing bool
+	refusals int
+
 	// conflicts counts writes at a revision that is no longer the newest.
 	conflicts int
 }
@@ -185,6 +189,11 @@
 	}
 	cl := k.cluster
 	cl.mu.Lock()
+	if cl.refusing {
+		cl.refusals++
+		cl.mu.Unlock()
+		return egret.Revision{}, errors.Trace(egret.ErrRefused)
+	}
 	replyLost, delay := cl.lostReplies[k.node], cl.lateWriteDelay
 	cl.mu.Unlock()
 	if replyLost {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -232,6 +232,21 @@
 	}
 }
 
+// TestReleaseSparesARefusingStore guards against a process that stops and floods a store that refuses its calls.
+func TestReleaseSparesARefusingStore(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 3)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	cl.update(func() { cl.refusing = true })
+	holder.Release(t.Context(), "")
+	cl.update(func() {
+		if limit := int(releaseTimeout / checkInterval); cl.refusals == 0 || cl.refusals > limit {
+			t.Errorf("%d calls in %v, want 1 to %d", cl.refusals, releaseTimeout, limit)
+		}
+	})
+}
+
 // TestLostRecordIsRestored makes the store lose the record of a running holder, which must keep the lease.
 func TestLostRecordIsRestored(t *testing.T) {
 	t.Parallel()
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -104,7 +104,9 @@
 				break
 			}
 			revision = stored
+			continue
 		}
+		l.sleep(ctx, jitter(2*checkInterval))
 	}
 	l.endIfHeld("the release was not confirmed")
 }
