lease: a record that is written again doesn't hide a later one

Cause: while the answer to the write of a lost or displaced record is on its way, the watch may show that record, and the lane may write a primary after it. The answer then put the record without that primary back into the process's memory, until the next renewal. Change: the answer counts only if nothing newer is known. The package's tests pass under the race detector; none of them provokes this order of answers."

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -367,7 +367,10 @@
 	if !l.heldRevision.Exists() {
 		return false
 	}
-	l.setHeld(revision, record)
+	// The watch may have shown the write already, and another one may have followed.
+	if l.newest.Before(revision) {
+		l.setHeld(revision, record)
+	}
 	if clock.Now() >= l.validUntil {
 		l.endLease("the lease expired before the record was restored")
 		return false
