--- a/link/convert.go
+++ b/link/convert.go
@@ -119,3 +119,10 @@
 		Member:   m.GetMember(),
 	}
 }
+
+func revisionFromWire(era, number uint64) egret.Revision {
+	return egret.Revision{
+		Era:    era,
+		Number: number,
+	}
+}
--- a/link/server.go
+++ b/link/server.go
@@ -164,10 +164,3 @@
 	}
 	return reply, nil
 }
-
-func revisionFromWire(era, number uint64) egret.Revision {
-	return egret.Revision{
-		Era:    era,
-		Number: number,
-	}
-}
