fleet: processes register once at their start

Cause, from the count of calls and the code: woke the registration after each list of all keys. The first list can't have the registration that a process is writing, so that each one wrote it twice, with five calls more, and all others read both. That doubles what fills the links then.

Only a list of a later era wakes it.

TestRegistrationIsWrittenOnce fails without the condition: 8 calls at the start, want 2.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,8 +72,8 @@
 	// runCtx is canceled when Run returns.
 	runCtx context.Context
 
-	// listedAgain wakes keepRegistered, as a list of all keys may show that the registration of this process is lost.
-	listedAgain chan struct{}
+	// storeRestored wakes keepRegistered after a restore of the store, which may have lost the registration of this process.
+	storeRestored chan struct{}
 
 	// watch watches the fleet's keys in the store.
 	watch *watch.Watcher
@@ -140,7 +140,7 @@
 // Init prepares the fleet. It must be called once, before any other method.
 func (f *Fleet) Init() {
 	f.leaveStarted = make(chan struct{})
-	f.listedAgain = make(chan struct{}, 1)
+	f.storeRestored = make(chan struct{}, 1)
 	f.nodes = map[string]Node{}
 	f.leases = map[string]*lease.Lease{}
 	f.lanes = map[string]*group.Lane{}
@@ -292,6 +292,7 @@
 	clear(f.nodes)
 	clear(f.records)
 	f.largest = Capacity{}
+	restored := f.listedAt != (egret.Revision{}) && f.listedAt.Era < at.Era
 	f.listedAt = at
 	f.mu.Unlock()
 	for _, item := range items {
@@ -305,8 +306,11 @@
 			l.Observe(item)
 		}
 	}
+	if !restored {
+		return
+	}
 	select {
-	case f.listedAgain <- struct{}{}:
+	case f.storeRestored <- struct{}{}:
 	default:
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -201,3 +202,57 @@
 		}
 	}
 }
+
+// registerKeys is a store that counts registrations and takes them.
+type registerKeys struct {
+	egret.Keyspace
+	era           uint64
+	grants, calls atomic.Int64
+}
+
+func (k *registerKeys) Grant(context.Context, time.Duration) (egret.StoreLease, error) {
+	k.grants.Add(1)
+	k.calls.Add(1)
+	return egret.StoreLease{
+		ID:  1,
+		Era: k.era,
+	}, nil
+}
+
+func (k *registerKeys) CompareAndSwap(context.Context, string, egret.Revision, []byte, egret.StoreLease) (egret.Revision, error) {
+	k.calls.Add(1)
+	return egret.Revision{
+		Era:    k.era,
+		Number: 9,
+	}, nil
+}
+
+func (k *registerKeys) Renew(context.Context, egret.StoreLease) error {
+	k.calls.Add(1)
+	return nil
+}
+
+func (k *registerKeys) Revoke(context.Context, egret.StoreLease) error { return nil }
+
+// TestRegistrationIsWrittenOnce guards against a fleet whose processes register twice at their start, as the first list of
+// keys can't have their registrations, and against one that a restored store doesn't know for a renewal interval.
+func TestRegistrationIsWrittenOnce(t *testing.T) {
+	f := newFleet(t, closedAddress)
+	k := &registerKeys{era: 1}
+	f.Keys = k
+	go func() { _ = f.keepRegistered(t.Context()) }()
+	for k.calls.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.applySnapshot(nil, egret.Revision{Era: 0, Number: 9})
+	time.Sleep(200 * time.Millisecond)
+	if n := k.calls.Load(); n != 2 {
+		t.Errorf("%d calls to register at the start, want 2", n)
+	}
+	f.applySnapshot(nil, egret.Revision{Era: 1, Number: 4})
+	for deadline := time.Now().Add(2 * time.Second); k.grants.Load() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the process doesn't register again after a restore")
+		}
+	}
+}
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -53,7 +53,7 @@
 		select {
 		case <-ctx.Done():
 		case <-f.leaveStarted:
-		case <-f.listedAgain:
+		case <-f.storeRestored:
 		case <-time.After(delay):
 		}
 	}
