lease: an old intent doesn't bring back a replaced primary

After the store was silent for a moment, callers' acknowledged writes may be lost at the next loss of a holder: the successor takes a member for the primary that was replaced since, and has the newer one demoted.

Cause: a holder that promotes a member while the store is silent sends it to the voters. They keep that intent for good. It is written to the store later, and so is each later promotion, but a successor that asks the voters takes their intent for newer than the record, whatever its age.

Ruled out: that the record's revision could order both. A successor's record has a higher revision than an intent that it has not learned yet.

The record has the order of its primary now, in the same sequence as the intents. An intent counts if it is newer. Orders rise above all that a holder knows, also where the time of day jumps.

TestOldIntentBringsBackNoPrimary failed before: "the successor takes "m2" for the primary, want m3". A record of an earlier version has no order, and intents count as newer than it, as before.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -394,6 +394,42 @@
 	}
 }
 
+// TestOldIntentBringsBackNoPrimary guards against commits that are lost: a successor takes for the primary one that was
+// sent to the voters while the store was silent, though another member was promoted and recorded since.
+func TestOldIntentBringsBackNoPrimary(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	cl.update(func() { cl.storeCuts[holder.Self.Node] = true })
+	if err := holder.SetPrimary(t.Context(), "m2"); err != nil {
+		t.Fatal(err)
+	}
+	cl.update(func() { clear(cl.storeCuts) })
+	recorded := func(member string) bool {
+		v, err := decodeRecord(cl.takeCopy().item)
+		return err == nil && v.Record.Primary == member
+	}
+	for deadline := time.Now().Add(5 * time.Second); !recorded("m2"); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the primary that the voters have is not written")
+		}
+	}
+	if err := holder.SetPrimary(t.Context(), "m3"); err != nil {
+		t.Fatal(err)
+	}
+	cl.update(func() {
+		cl.storeCuts[holder.Self.Node] = true
+		for _, l := range cl.leases {
+			cl.peerCuts[[2]string{holder.Self.Node, l.Self.Node}] = l != holder
+		}
+	})
+	next := cl.awaitHolder(t, "successor", 8*time.Second, func(l *Lease) bool { return l != holder })
+	if p := next.Primary(); p != "m3" {
+		t.Errorf("the successor takes %q for the primary, want m3", p)
+	}
+}
+
 // TestMissingRecordOfRestoredStoreIsWaitedFor guards against two holders: a process starts, takes a service without a record
 // for one that never had a holder, and doesn't wait for the holder whose record a restored store has lost.
 func TestMissingRecordOfRestoredStoreIsWaitedFor(t *testing.T) {
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -46,7 +46,7 @@
 	// Primary is the member that is about to be made primary.
 	Primary string
 
-	// Order increases with each intent for a service.
+	// Order increases with each primary that is recorded for a service, by the voters or in the store.
 	Order uint64
 }
 
@@ -244,7 +244,12 @@
 	}
 	l.awaitedVoters, l.awaitsUnknown = nil, false
 	l.usableFrom = max(l.usableFrom, expiry)
-	if intent.Order > 0 && intent.Primary != l.latest.Record.Primary {
+	if intent.Order > l.voter.intent.Order {
+		l.voter.intent = intent
+	}
+	// Voters keep an intent after it was written, and after another primary was written to the store.
+	record := l.latest.Record
+	if intent.Order > record.PrimaryOrder && intent.Primary != record.Primary {
 		l.unwrittenIntent = intent
 	}
 }
@@ -271,7 +276,7 @@
 	revision := l.heldRevision
 	intent := Intent{
 		Primary: member,
-		Order:   max(l.voter.intent.Order+1, uint64(time.Now().UnixMicro())),
+		Order:   l.nextOrder(),
 	}
 	l.voter.intent = intent
 	l.mu.Unlock()
@@ -286,6 +291,12 @@
 	return l.heldRevision == revision
 }
 
+// nextOrder returns the order of a primary that is about to be recorded. The caller holds mu.
+func (l *Lease) nextOrder() uint64 {
+	known := max(l.latest.Record.PrimaryOrder, l.unwrittenIntent.Order, l.voter.intent.Order)
+	return max(known+1, uint64(time.Now().UnixMicro()))
+}
+
 // writeIntent writes to the store the primary that was sent to the voters only, if there is one.
 func (l *Lease) writeIntent(ctx context.Context) {
 	l.mu.Lock()
--- a/lease/record.go
+++ b/lease/record.go
@@ -27,6 +27,10 @@
 	// Primary is the member that was made primary last, or "" if none ever was.
 	Primary string `json:"primary"`
 
+	// PrimaryOrder orders Primary among all that were recorded, and the intents that holders sent to voters. Zero is lower
+	// than any, as processes of an earlier version write none.
+	PrimaryOrder uint64 `json:"primary-order,omitempty"`
+
 	// PrimaryUncertain says that Primary comes from a record that was written before the store was restored. Another member
 	// may have been promoted since.
 	PrimaryUncertain bool `json:"primary-uncertain,omitempty"`
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -150,12 +150,12 @@
 // writePrimary writes the primary to the record.
 func (l *Lease) writePrimary(ctx context.Context, member string) error {
 	l.mu.Lock()
-	revision, record := l.heldRevision, l.ownRecord()
+	revision, record, order := l.heldRevision, l.ownRecord(), l.nextOrder()
 	l.mu.Unlock()
 	if !revision.Exists() {
 		return egret.ErrLeaseExpired
 	}
-	record.Primary, record.PrimaryUncertain = member, false
+	record.Primary, record.PrimaryOrder, record.PrimaryUncertain = member, order, false
 	written, err := l.writeRecord(ctx, revision, record)
 	if err != nil {
 		return err
@@ -172,11 +172,12 @@
 // ownRecord returns a record that names this process as the holder. The caller holds mu.
 func (l *Lease) ownRecord() Record {
 	r := Record{
-		Node:        l.Self.Node,
-		Incarnation: l.Self.Incarnation,
-		Address:     l.Self.Address,
-		Primary:     l.latest.Record.Primary,
-		Voters:      l.latest.Record.Voters,
+		Node:         l.Self.Node,
+		Incarnation:  l.Self.Incarnation,
+		Address:      l.Self.Address,
+		Primary:      l.latest.Record.Primary,
+		PrimaryOrder: l.latest.Record.PrimaryOrder,
+		Voters:       l.latest.Record.Voters,
 	}
 	r.PrimaryUncertain = l.latest.Record.PrimaryUncertain
 	if l.heldRevision.Exists() && l.validUntil == 0 {
@@ -184,7 +185,7 @@
 		r.AwaitsUnknown = l.latest.Record.AwaitsUnknown
 	}
 	if l.unwrittenIntent.Primary != "" {
-		r.Primary, r.PrimaryUncertain = l.unwrittenIntent.Primary, false
+		r.Primary, r.PrimaryOrder, r.PrimaryUncertain = l.unwrittenIntent.Primary, l.unwrittenIntent.Order, false
 	}
 	return r
 }
