lease: an intent doesn't make the primary of a restored record certain

After a restore of the store, a successor may take an earlier primary for the last one, and callers' acknowledged writes are lost.

Cause: the copy lacks the record of the last promotion, so that an earlier promotion, which the voters still have as an intent, is newer than all that the successor reads. It then counted as certain, and the members weren't asked who leads.

While the record's primary is uncertain, intents of voters are ignored: the members decide.

TestOldIntentDoesNotMakePrimaryCertain failed without the condition: "the successor takes "m2" for the primary for certain".

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -430,6 +430,39 @@
 	}
 }
 
+// TestOldIntentDoesNotMakePrimaryCertain guards against commits that are lost: a restored store has lost the record of the
+// last promotion, and its successor takes an earlier one, which voters still have, for the last.
+func TestOldIntentDoesNotMakePrimaryCertain(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	older := cl.takeCopy()
+	cl.update(func() {
+		cl.changesHidden = true
+		cl.storeCuts[holder.Self.Node] = true
+	})
+	if err := holder.SetPrimary(t.Context(), "m2"); err != nil {
+		t.Fatal(err)
+	}
+	cl.update(func() { clear(cl.storeCuts) })
+	if err := holder.SetPrimary(t.Context(), "m3"); err != nil {
+		t.Fatal(err)
+	}
+	cl.update(func() {
+		cl.restore(older)
+		cl.changesHidden = false
+		cl.storeCuts[holder.Self.Node] = true
+		for _, l := range cl.leases {
+			cl.peerCuts[[2]string{holder.Self.Node, l.Self.Node}] = l != holder
+		}
+	})
+	next := cl.awaitHolder(t, "successor", maxExtension+5*time.Second, func(l *Lease) bool { return l != holder })
+	if !next.PrimaryUncertain() {
+		t.Errorf("the successor takes %q for the primary for certain", next.Primary())
+	}
+}
+
 // TestMissingRecordOfRestoredStoreIsWaitedFor guards against two holders: a process starts, takes a service without a record
 // for one that never had a holder, and doesn't wait for the holder whose record a restored store has lost.
 func TestMissingRecordOfRestoredStoreIsWaitedFor(t *testing.T) {
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -249,7 +249,7 @@
 	}
 	// Voters keep an intent after it was written, and after another primary was written to the store.
 	record := l.latest.Record
-	if intent.Order > record.PrimaryOrder && intent.Primary != record.Primary {
+	if intent.Order > record.PrimaryOrder && intent.Primary != record.Primary && !record.PrimaryUncertain {
 		l.unwrittenIntent = intent
 	}
 }
