group: a primary that is found again isn't replaced at once

Callers wait for a promotion, and commits that no replica has received yet are rolled back, although the primary answers.

Cause: a lane that looks for the primary adopts the member that reports itself primary. If checks of that member had failed before, as in a short partition, it stays noted as unreachable until the next check, and maintainPrimary replaces it at once.

Adopting a member clears the result of earlier checks, as it has just answered.

--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -171,6 +171,31 @@
 	})
 }
 
+// TestFoundPrimaryIsKept guards against a promotion too many: the primary answers again when the lane has already noted it as
+// unreachable, is adopted, and replaced at once.
+func TestFoundPrimaryIsKept(t *testing.T) {
+	s := newFakeService()
+	s.member("a", func(m *fakeMember) { m.down = true })
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	eventually(t, "failed checks of the primary", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.members["a"].failedChecks >= maxFailedChecks
+	})
+	s.member("a", func(m *fakeMember) { m.down = false })
+	awaitPrimary(t, l)
+	time.Sleep(2 * maintenanceInterval)
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+		t.Errorf("write: %+v, want a to answer", a)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.promoted) > 0 {
+		t.Errorf("%v were promoted", s.promoted)
+	}
+}
+
 // TestWriteWithoutAnswerRunsOnce loses the answer to a write, which must not be sent again.
 func TestWriteWithoutAnswerRunsOnce(t *testing.T) {
 	s := newFakeService()
--- a/group/primary.go
+++ b/group/primary.go
@@ -182,6 +182,8 @@
 	l.primary = r.id
 	l.historyComplete = true
 	l.hasPrimary = true
+	// The member has just answered, so that its last check is out of date.
+	r.member.unreachable, r.member.failedChecks = false, 0
 	r.member.view.Position = r.status.Received
 	delete(l.superseded, r.id)
 	l.EventLog.Event("primary-adopted").Str("service", l.Service).Str("member", r.id).Str("how", how).
