group: an old primary isn't adopted while another may lead

After a restore of the store, callers' writes may be acknowledged at a primary that was replaced, and lost.

Cause: a holder whose record may lack the last promotion goes by what the members report, and adopted the highest term among the members that answered at that moment. Until it is known to the old primary, that one goes on as a primary.

Now all members have to answer, and none of them may know a later term. Otherwise the lane looks on for primarySearchTimeout and then promotes the most advanced member, which begins a later term than that of any primary that it can't see.

TestOldPrimaryIsNotAdoptedWhileAnotherMayLead (a member that is silent for 0.5 s, one that isn't registered yet) and TestLostPrimaryIsReplacedWithUncertainRecord failed before: the old primary answered the write.

--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -171,6 +172,65 @@
 	})
 }
 
+// TestOldPrimaryIsNotAdoptedWhileAnotherMayLead guards against writes at a primary that was replaced: a restored store has lost
+// the record of the last promotion, and the member that was promoted doesn't answer yet, or isn't registered again yet.
+func TestOldPrimaryIsNotAdoptedWhileAnotherMayLead(t *testing.T) {
+	for name, hidden := range map[string]func(m *fakeMember) bool{
+		"silent":       func(m *fakeMember) bool { m.down = true; return false },
+		"unregistered": func(*fakeMember) bool { return true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeService()
+			s.member("c", func(m *fakeMember) { m.term = 2 })
+			missing := false
+			s.member("b", func(m *fakeMember) {
+				m.role, m.term = egret.RolePrimary, 2
+				m.position = egret.Position{Term: 2, Offset: 12}
+				missing = hidden(m)
+			})
+			members := s.backends()
+			if missing {
+				members = slices.DeleteFunc(members, func(b egret.Backend) bool { return b.ID == "b" })
+			}
+			l, h := startLane(t, s)
+			h.mu.Lock()
+			h.primary, h.uncertain = "a", true
+			h.mu.Unlock()
+			l.SetMembers(members)
+			time.Sleep(primarySearchTimeout / 2)
+			s.member("b", func(m *fakeMember) { m.down = false })
+			l.SetMembers(s.backends())
+			awaitPrimary(t, l)
+			if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone || a.Member != "b" {
+				t.Errorf("write: %+v, want b to answer", a)
+			}
+		})
+	}
+}
+
+// TestLostPrimaryIsReplacedWithUncertainRecord guards against a service without a primary, and against writes at a primary
+// that was replaced: the member that was promoted last is lost together with the record of it.
+func TestLostPrimaryIsReplacedWithUncertainRecord(t *testing.T) {
+	s := newFakeService()
+	s.member("c", func(m *fakeMember) {
+		m.term = 2
+		m.position = egret.Position{Term: 2, Offset: 12}
+	})
+	s.member("b", func(m *fakeMember) {
+		m.role, m.term = egret.RolePrimary, 2
+		m.down = true
+	})
+	l, h := startLane(t, s)
+	h.mu.Lock()
+	h.primary, h.uncertain = "a", true
+	h.mu.Unlock()
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	if a := l.Stream().Do(context.Background(), write("1")); a.Fault.Kind != egret.FaultNone || a.Member != "c" {
+		t.Errorf("write: %+v, want c to answer", a)
+	}
+}
+
 // TestFoundPrimaryIsKept guards against a promotion too many: the primary answers again when the lane has already noted it as
 // unreachable, is adopted, and replaced at once.
 func TestFoundPrimaryIsKept(t *testing.T) {
--- a/group/primary.go
+++ b/group/primary.go
@@ -76,6 +76,9 @@
 				best = i
 			}
 		}
+		if best >= 0 && uncertain && anotherMayLead(reports, reports[best].status.Term) {
+			best = -1
+		}
 		if best >= 0 && uncertain && !l.recordFound(ctx, reports, reports[best]) {
 			l.sleep(ctx, maintenanceInterval/2)
 			continue
@@ -92,6 +95,17 @@
 	}
 }
 
+// anotherMayLead reports whether a member other than the one that reports itself primary of the term may be the primary of a
+// later one: a member doesn't answer, or knows a later term.
+func anotherMayLead(reports []statusReport, term uint64) bool {
+	for _, r := range reports {
+		if r.err != nil || r.status.Term > term {
+			return true
+		}
+	}
+	return false
+}
+
 // recordFound records the primary that was found although another one may be recorded, and has other members that report
 // themselves primary demoted. It reports whether the primary could be recorded.
 func (l *Lane) recordFound(ctx context.Context, reports []statusReport, found statusReport) bool {
