fleet: processes get the store's changes within their region

Cause: each process is given each registration by one of four observers of the whole fleet, in half of the cases across the link between the regions, which all traffic shares. After a loss of power, 295 registrations go to 295 processes within two seconds.

Each region has observers of its own now, three, and a process asks these. If one can't tell, the next request goes to another region, so that a region that the store refuses still gets changes.

TestChangesStayInRegion asks for that (before, observers knew no regions).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -82,6 +82,9 @@
 	// relayed its changes, or zero.
 	storeDownSince atomic.Int64
 
+	// nearObserverFailed says that the last observer that was asked is in this process's region and gave no changes.
+	nearObserverFailed atomic.Bool
+
 	// claiming serializes MayAcquire. It is locked before mu.
 	claiming sync.Mutex
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -114,7 +114,7 @@
 }
 
 // TestObserversAreConsistent checks that processes with the same registrations choose the same observers,
-// and no more than observerCount of them.
+// and no more than observerCount of them in a region.
 func TestObserversAreConsistent(t *testing.T) {
 	f, g := newFleet(t, closedAddress), newFleet(t, closedAddress)
 	direct := 0
@@ -128,10 +128,11 @@
 		f.applyItem(item)
 		g.applyItem(item)
 	}
-	if !slices.Equal(f.observers(), g.observers()) {
-		t.Errorf("the observers differ: %v and %v", f.observers(), g.observers())
+	chosen, _ := f.observers()
+	if others, _ := g.observers(); !slices.Equal(chosen, others) {
+		t.Errorf("the observers differ: %v and %v", chosen, others)
 	}
-	for _, n := range f.observers() {
+	for _, n := range chosen {
 		f.Self = n
 		if f.WatchesStore() {
 			direct++
@@ -142,6 +143,35 @@
 	}
 }
 
+// TestChangesStayInRegion guards against a link between regions that is full of registrations after a loss of power: each
+// process of a fleet is given each of them. It is asked for in the own region first, and in another one if that fails.
+func TestChangesStayInRegion(t *testing.T) {
+	f := newFleet(t, closedAddress)
+	f.Self.Region = "near"
+	asked := map[string]int{}
+	for i := range 40 {
+		n := Node{ID: string(rune('A' + i)), Region: []string{"near", "far"}[i%2], Address: closedAddress}
+		data, err := json.Marshal(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.applyItem(egret.Item{Key: nodesPrefix + n.ID, Data: data, Revision: egret.Revision{Number: 9}})
+	}
+	near, far := f.observers()
+	for _, n := range near {
+		asked[n.Region]++
+	}
+	if len(near) != observerCount || asked["near"] != observerCount || len(far) != observerCount {
+		t.Errorf("observers %v, and %v in the other region", near, far)
+	}
+	if _, ok := f.ChangesFromPeer(t.Context(), keysPrefix, egret.Revision{Number: 9}); ok || !f.nearObserverFailed.Load() {
+		t.Errorf("changes from a closed port: %t; the next call asks in another region: %t", ok, f.nearObserverFailed.Load())
+	}
+	if _, ok := f.ChangesFromPeer(t.Context(), keysPrefix, egret.Revision{Number: 9}); ok || f.nearObserverFailed.Load() {
+		t.Errorf("changes from a closed port: %t; a third call asks in another region: %t", ok, f.nearObserverFailed.Load())
+	}
+}
+
 // recordKeys is a store with the record of one service.
 type recordKeys struct {
 	egret.Keyspace
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// observerCount is the number of processes that watch the store. Each other process asks one of them
-	// for changes, chosen at random each time, so that the calls to the store don't grow with the fleet.
-	observerCount = 4
+	// observerCount is the number of processes in each region that watch the store. Each other process asks one of
+	// them for changes, chosen at random each time, so that neither the calls to the store nor the traffic between
+	// regions grow with the fleet.
+	observerCount = 3
 
 	// maxDirectNodes is the largest number of processes with which each one watches the store itself. A
 	// configuration then reaches a process without passing through another one.
@@ -32,37 +33,48 @@
 	if small {
 		return true
 	}
-	for _, n := range f.observers() {
-		if n.ID == f.Self.ID {
-			return true
-		}
-	}
-	return false
+	near, _ := f.observers()
+	return slices.ContainsFunc(near, func(n Node) bool { return n.ID == f.Self.ID })
 }
 
-// observers returns the processes that watch the store for the others. Processes that know the same
-// registrations choose the same observers.
-func (f *Fleet) observers() []Node {
+// observers returns the processes that watch the store for the others: those of this process's region, and those of the
+// other regions. Processes that know the same registrations choose the same observers.
+func (f *Fleet) observers() (near, far []Node) {
 	f.mu.Lock()
-	nodes := make([]Node, 0, len(f.nodes))
+	regions := map[string][]Node{}
 	for _, n := range f.nodes {
-		nodes = append(nodes, n)
+		regions[n.Region] = append(regions[n.Region], n)
 	}
 	f.mu.Unlock()
-	slices.SortFunc(nodes, func(a, b Node) int {
-		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
-	})
-	return nodes[:min(len(nodes), observerCount)]
+	for region, nodes := range regions {
+		slices.SortFunc(nodes, func(a, b Node) int {
+			return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+		})
+		nodes = nodes[:min(len(nodes), observerCount)]
+		if region == f.Self.Region {
+			near = nodes
+		} else {
+			far = append(far, nodes...)
+		}
+	}
+	return near, far
 }
 
 // ChangesFromPeer asks an observer other than this process for the changes below the prefix after the revision. It
-// reports false if the observer can't tell.
+// reports false if the observer can't tell; the next call then asks one of another region.
 func (f *Fleet) ChangesFromPeer(ctx context.Context, prefix string, after egret.Revision) (watch.Changes, bool) {
-	others := slices.DeleteFunc(f.observers(), func(n Node) bool { return n.ID == f.Self.ID })
+	near, far := f.observers()
+	others := slices.DeleteFunc(near, func(n Node) bool { return n.ID == f.Self.ID })
+	if asksFar := f.nearObserverFailed.Swap(false); len(others) == 0 || asksFar && len(far) > 0 {
+		others = far
+	}
 	if len(others) == 0 {
 		return watch.Changes{}, false
 	}
-	return f.Pool.Changes(ctx, others[rand.IntN(len(others))].Address, prefix, after)
+	n := others[rand.IntN(len(others))]
+	c, ok := f.Pool.Changes(ctx, n.Address, prefix, after)
+	f.nearObserverFailed.Store(!ok && n.Region == f.Self.Region)
+	return c, ok
 }
 
 // ChangesFromHolder is like ChangesFromPeer, but asks another process that holds a service. Holders watch the members,
