fleet: after a loss of power, processes register one after the other

Cause: a process writes its registration at its start without a look at the one that is there. That one says the same but for the incarnation, which nothing but the process itself reads, and is in force for up to 20 s.

A process that finds such a registration replaces it within renewInterval (6 s), at a random time, at the revision that it has seen. Without one, and after a restore of the store, it registers at once, as before.

TestRegistrationsAreSpreadAfterLossOfPower failed before: 40 of 40 processes register in the first 1.5 s.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,10 @@
 	// runCtx is canceled when Run returns.
 	runCtx context.Context
 
+	// firstList is closed when all keys were listed for the first time, by endFirstList.
+	firstList    chan struct{}
+	endFirstList func()
+
 	// storeRestored wakes keepRegistered after a restore of the store, which may have lost the registration of this process.
 	storeRestored chan struct{}
 
@@ -93,6 +97,9 @@
 
 	nodes map[string]Node
 
+	// ownRevision is the revision of this node's registration, or zero if there is none.
+	ownRevision egret.Revision
+
 	// largest has the most cores and the fastest link of all nodes that were registered since the last full list.
 	largest Capacity
 
@@ -143,6 +150,8 @@
 // Init prepares the fleet. It must be called once, before any other method.
 func (f *Fleet) Init() {
 	f.leaveStarted = make(chan struct{})
+	f.firstList = make(chan struct{})
+	f.endFirstList = sync.OnceFunc(func() { close(f.firstList) })
 	f.storeRestored = make(chan struct{}, 1)
 	f.nodes = map[string]Node{}
 	f.leases = map[string]*lease.Lease{}
@@ -294,6 +303,7 @@
 	f.mu.Lock()
 	clear(f.nodes)
 	clear(f.records)
+	f.ownRevision = egret.Revision{}
 	f.largest = Capacity{}
 	restored := f.listedAt != (egret.Revision{}) && f.listedAt.Era < at.Era
 	f.listedAt = at
@@ -301,6 +311,7 @@
 	for _, item := range items {
 		f.applyItem(item)
 	}
+	f.endFirstList()
 	for _, l := range f.allLeases() {
 		f.mu.Lock()
 		item := f.recordItem(l.Service)
@@ -349,6 +360,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if id == f.Self.ID {
+		f.ownRevision = item.Revision
+		if item.Removed {
+			f.ownRevision = egret.Revision{}
+		}
+	}
 	if f.nodes[id] == n {
 		return
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -238,6 +238,10 @@
 	egret.Keyspace
 	era           uint64
 	grants, calls atomic.Int64
+
+	// stored is the revision that the registrations have before, or zero. mismatches counts writes at another one.
+	stored     egret.Revision
+	mismatches atomic.Int64
 }
 
 func (k *registerKeys) Grant(context.Context, time.Duration) (egret.StoreLease, error) {
@@ -249,8 +253,11 @@
 	}, nil
 }
 
-func (k *registerKeys) CompareAndSwap(context.Context, string, egret.Revision, []byte, egret.StoreLease) (egret.Revision, error) {
+func (k *registerKeys) CompareAndSwap(_ context.Context, _ string, revision egret.Revision, _ []byte, _ egret.StoreLease) (egret.Revision, error) {
 	k.calls.Add(1)
+	if revision != k.stored {
+		k.mismatches.Add(1)
+	}
 	return egret.Revision{
 		Era:    k.era,
 		Number: 9,
@@ -286,3 +293,38 @@
 		}
 	}
 }
+
+// TestRegistrationsAreSpreadAfterLossOfPower guards against links that are full of registrations when all processes start at
+// once, each of which is given to all others, and against two more calls to the store for each of them.
+func TestRegistrationsAreSpreadAfterLossOfPower(t *testing.T) {
+	t.Parallel()
+	const processes = 40
+	k := &registerKeys{stored: egret.Revision{Number: 7}}
+	for range processes {
+		f := newFleet(t, closedAddress)
+		f.Keys = k
+		former := f.Self
+		former.Incarnation = "0"
+		data, err := json.Marshal(former)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.applySnapshot([]egret.Item{{
+			Key:      nodesPrefix + f.Self.ID,
+			Data:     data,
+			Revision: k.stored,
+		}}, egret.Revision{Number: 9})
+		go func() { _ = f.keepRegistered(t.Context()) }()
+	}
+	time.Sleep(renewInterval / 4)
+	if n := k.grants.Load(); n > processes/2 {
+		t.Errorf("%d of %d processes register in the first %v", n, processes, renewInterval/4)
+	}
+	time.Sleep(renewInterval)
+	if n := k.grants.Load(); n < processes {
+		t.Errorf("%d of %d processes have registered in %v", n, processes, renewInterval)
+	}
+	if n := k.mismatches.Load(); n > 0 {
+		t.Errorf("%d writes at a revision that the registration doesn't have", n)
+	}
+}
--- a/fleet/register.go
+++ b/fleet/register.go
@@ -25,6 +25,9 @@
 	// an outage of the store all processes pay for the calls.
 	retryInterval    = 500 * time.Millisecond
 	maxRetryInterval = 4 * time.Second
+
+	// firstListTimeout is how long a process that starts waits for the first list of the fleet's keys before it registers.
+	firstListTimeout = 2 * time.Second
 )
 
 // keepRegistered registers this process and renews the store lease of its registration until the context is
@@ -34,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	f.awaitFirstRegistration(ctx)
 	storeLease := egret.StoreLease{}
 	retryDelay := retryInterval
 	for ctx.Err() == nil && !f.Leaving() {
@@ -67,6 +71,31 @@
 	return nil
 }
 
+// awaitFirstRegistration waits until this process should register: at once if the store has no registration of the node,
+// and else up to renewInterval later. That of an earlier process says the same but for the incarnation, and is in force for
+// longer, while many registrations at once, as after a loss of power, fill the network links of the fleet.
+func (f *Fleet) awaitFirstRegistration(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.leaveStarted:
+	case <-f.firstList:
+	case <-time.After(firstListTimeout):
+	}
+	f.mu.Lock()
+	n, found := f.nodes[f.Self.ID]
+	f.mu.Unlock()
+	n.Incarnation = f.Self.Incarnation
+	if !found || n != f.Self {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.leaveStarted:
+	case <-f.storeRestored:
+	case <-time.After(rand.N(renewInterval)):
+	}
+}
+
 // registered reports whether the store, as last seen by the watch, has the registration of this process.
 func (f *Fleet) registered() bool {
 	f.mu.Lock()
@@ -89,9 +118,12 @@
 		return egret.StoreLease{}, err
 	}
 	key := nodesPrefix + f.Self.ID
-	_, err = f.Keys.CompareAndSwap(ctx, key, egret.Revision{}, data, storeLease)
+	f.mu.Lock()
+	known := f.ownRevision
+	f.mu.Unlock()
+	_, err = f.Keys.CompareAndSwap(ctx, key, known, data, storeLease)
 	if errors.Is(err, egret.ErrConflict) {
-		// The registration of an earlier process of this node has not expired yet.
+		// The watch has not shown the last change of the registration yet.
 		item, readErr := f.Keys.Read(ctx, key)
 		if readErr != nil {
 			return egret.StoreLease{}, readErr
