lease, fleet: a holder is replaced from another region only if its own doesn't

Cause: a process gives a holder 0.6 s, wherever it is, though what is silent may be the link between the regions, which all traffic shares. The processes in the holder's region reach it, but nobody asks for their judgement: candidates in the primary's region rank first, and indirect probes cross the same link.

Ruled out: that the silence can be told from the store's own answers. A process beside the store reads it in 5 ms, and waits for a holder in the other region all the same.

A process in another region than the holder now waits for 1.2 s more, by which time one in the holder's region has replaced a holder that is lost. Among those that would replace a silent holder, only processes of the own region rank before one, so that a region that is lost or without the store holds nobody up. The processes that ping a holder are those in its region.

TestBusyLinkBetweenRegionsReplacesNoHolder failed before: replaced after 0.9 s. TestHolderIsReplacedInItsRegion and TestOtherRegionsReplaceHolderLater need what this adds.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -20,10 +20,15 @@
 	// them.
 	holderPingInterval = 200 * time.Millisecond
 
-	// pingersPerHolder is how many of the best ranked processes ping a holder. If all of them are lost
-	// together with the holder, a takeover is only delayed.
+	// pingersPerHolder is how many of the best ranked processes in its region ping a holder. If all of them are
+	// lost together with the holder, a takeover is only delayed.
 	pingersPerHolder = 4
 
+	// interRegionDelay is how much longer a holder must be silent before a process in another region replaces it. The
+	// processes in its region have replaced it by then if it is lost. Silence across regions may only mean that the
+	// link between them is busy.
+	interRegionDelay = 1200 * time.Millisecond
+
 	// suspectAfter is how long a holder may leave a ping unanswered before other proxies are asked to
 	// probe it.
 	suspectAfter = 250 * time.Millisecond
@@ -46,6 +51,11 @@
 // Rank returns how many registered processes are better placed than this one to hold the service. It
 // stops counting at the limit.
 func (f *Fleet) Rank(service string, limit int) int {
+	return f.rank(service, limit, false)
+}
+
+// rank is Rank, among all processes or only those in the region of this one.
+func (f *Fleet) rank(service string, limit int, inRegion bool) int {
 	p := f.placement(service)
 	own := p.scoreWith(&f.Self, f.ownClaims(service))
 	f.mu.Lock()
@@ -55,6 +65,9 @@
 		if better >= limit {
 			break
 		}
+		if inRegion && n.Region != f.Self.Region {
+			continue
+		}
 		if n.ID != p.holder && n.ID != f.Self.ID && p.score(&n) < own {
 			better++
 		}
@@ -70,9 +83,18 @@
 // If so, the service counts as held by this process for claimTime, so that a process doesn't acquire many services at
 // once on the ground that it holds none.
 func (f *Fleet) MayAcquire(service string, above int) bool {
+	return f.mayAcquire(service, above, false)
+}
+
+// MayReplace is like MayAcquire for a service whose holder doesn't respond, but only processes in this one's region count.
+func (f *Fleet) MayReplace(service string, above int) bool {
+	return f.mayAcquire(service, above, true)
+}
+
+func (f *Fleet) mayAcquire(service string, above int, inRegion bool) bool {
 	f.claiming.Lock()
 	defer f.claiming.Unlock()
-	if f.Rank(service, above+1) > above {
+	if f.rank(service, above+1, inRegion) > above {
 		return false
 	}
 	f.mu.Lock()
@@ -81,6 +103,30 @@
 	return true
 }
 
+// ReplacementDelay returns interRegionDelay if the process is in another region than this one, and others are in its region.
+func (f *Fleet) ReplacementDelay(r lease.Record) time.Duration {
+	if f.inHolderRegion(r) {
+		return 0
+	}
+	return interRegionDelay
+}
+
+// inHolderRegion reports whether this process is in the region of the holder, or there are no others there.
+func (f *Fleet) inHolderRegion(r lease.Record) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	holder, known := f.nodes[r.Node]
+	if !known || holder.Region == f.Self.Region {
+		return true
+	}
+	for _, n := range f.nodes {
+		if n.Region == holder.Region && n.ID != holder.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // ownClaims returns how many services other than the given one this process may have acquired within claimTime.
 func (f *Fleet) ownClaims(service string) int {
 	f.mu.Lock()
@@ -335,8 +381,8 @@
 	}
 }
 
-// pingHolders pings, in the background, each holder that has left a request unanswered, and those that
-// haven't answered lately and for which this process is one of the pingersPerHolder best placed.
+// pingHolders pings, in the background, each holder that has left a request unanswered, and those in its region that
+// haven't answered lately and for which this process is one of the pingersPerHolder best placed there.
 func (f *Fleet) pingHolders(ctx context.Context) {
 	for _, l := range f.allLeases() {
 		s, known := l.LatestRecord()
@@ -345,7 +391,8 @@
 		}
 		lastAnswer, unansweredSince := f.Pool.Liveness(s.Record.Address)
 		pingDue := unansweredSince != 0 ||
-			clock.Since(lastAnswer) > holderPingInterval && f.Rank(l.Service, pingersPerHolder) < pingersPerHolder
+			clock.Since(lastAnswer) > holderPingInterval && f.inHolderRegion(s.Record) &&
+				f.rank(l.Service, pingersPerHolder, true) < pingersPerHolder
 		if pingDue {
 			go f.pingHolder(ctx, s.Record.Address)
 		}
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -196,3 +196,46 @@
 		t.Errorf("%d claims count after their time", n)
 	}
 }
+
+// TestOtherRegionsReplaceHolderLater guards against takeovers from a holder that runs, by processes that only reach it over a
+// busy link between regions, and against a region of which none takes over as those of others rank before it.
+func TestOtherRegionsReplaceHolderLater(t *testing.T) {
+	f := largeFleet(t, 40, 7)
+	for id, n := range f.nodes {
+		if n.Domain == "d2" {
+			n.Region = "far"
+			f.nodes[id] = n
+		}
+	}
+	holder := lease.Record{Node: "n3"}
+	first := map[string]int{}
+	for _, n := range f.nodes {
+		if n.ID == holder.Node {
+			continue
+		}
+		f.Self = n
+		want := time.Duration(0)
+		if n.Region == "far" {
+			want = interRegionDelay
+		}
+		if d := f.ReplacementDelay(holder); d != want {
+			t.Errorf("%s in region %s waits %v longer, want %v", n.ID, n.Region, d, want)
+		}
+		clear(f.claims)
+		if f.MayReplace("s3", 0) {
+			first[n.Region]++
+		}
+	}
+	if first["r"] != 1 || first["far"] != 1 {
+		t.Errorf("processes that replace the holder first, by region: %v, want one in each", first)
+	}
+	for id, n := range f.nodes {
+		if n.Region == "r" && id != holder.Node {
+			delete(f.nodes, id)
+		}
+	}
+	f.Self = f.nodes["n5"]
+	if d := f.ReplacementDelay(holder); d != 0 {
+		t.Errorf("%s waits %v longer, though no other process is in the holder's region", f.Self.ID, d)
+	}
+}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -48,7 +48,11 @@
 	}
 	// Each process of a higher rank has a head start of rankDelay.
 	passed := int((age - why.delay) / rankDelay)
-	if !why.preferred && !l.Peers.MayAcquire(l.Service, passed) {
+	mayAcquire := l.Peers.MayAcquire
+	if why.holderUnresponsive {
+		mayAcquire = l.Peers.MayReplace
+	}
+	if !why.preferred && !mayAcquire(l.Service, passed) {
 		return false
 	}
 	l.acquire(ctx, why)
@@ -122,15 +126,16 @@
 		}
 	}
 	// The holder was running when it wrote the record, so that earlier silence doesn't count.
-	if unresponsive := min(l.Peers.UnresponsiveFor(r), clock.Since(changedAt)); unresponsive > holderTimeout {
-		return cause{
-			name:               "holder silent",
-			holderUnresponsive: true,
-			delay:              holderTimeout,
-			since:              clock.Now().Add(-unresponsive),
-		}
+	unresponsive := min(l.Peers.UnresponsiveFor(r), clock.Since(changedAt))
+	if unresponsive <= holderTimeout {
+		return cause{}
+	}
+	return cause{
+		name:               "holder silent",
+		holderUnresponsive: true,
+		delay:              holderTimeout + l.Peers.ReplacementDelay(r),
+		since:              clock.Now().Add(-unresponsive),
 	}
-	return cause{}
 }
 
 // acquire replaces the latest known record by one that names this process, unless the key has changed since.
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -229,6 +229,11 @@
 	cluster      *cluster
 	index, total int
 
+	// near says that the process has no other of its region before it. replacementDelay is what ReplacementDelay returns.
+	// The cluster's mu guards both.
+	near             bool
+	replacementDelay time.Duration
+
 	// responseChecks counts the calls of UnresponsiveFor.
 	responseChecks atomic.Int64
 
@@ -244,6 +249,18 @@
 
 func (p *fakePeers) MayAcquire(_ string, above int) bool { return p.index <= above }
 
+func (p *fakePeers) MayReplace(service string, above int) bool {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.near || p.MayAcquire(service, above)
+}
+
+func (p *fakePeers) ReplacementDelay(Record) time.Duration {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.replacementDelay
+}
+
 func (p *fakePeers) UnresponsiveFor(r Record) time.Duration {
 	p.responseChecks.Add(1)
 	p.mu.Lock()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -41,7 +41,7 @@
 	// been unresponsive for longer than this.
 	idleCheckInterval = 250 * time.Millisecond
 
-	// holderTimeout is how long a holder must be unresponsive before it is replaced.
+	// holderTimeout is how long a holder must be unresponsive before it is replaced by a process in its region.
 	holderTimeout = 600 * time.Millisecond
 
 	// missingRecordDelay is how long a record must be missing from the store before a process other than its
@@ -81,6 +81,14 @@
 	// outcome.
 	MayAcquire(service string, above int) bool
 
+	// MayReplace is like MayAcquire for a service whose holder doesn't respond, but only processes in this one's region
+	// take precedence over it.
+	MayReplace(service string, above int) bool
+
+	// ReplacementDelay returns how much longer than holderTimeout a holder must be unresponsive before this process
+	// replaces it, as other processes can tell better whether it is lost.
+	ReplacementDelay(r Record) time.Duration
+
 	// UnresponsiveFor returns for how long the process has been unresponsive. It is zero if it responds, or if
 	// another live process gets responses from it.
 	UnresponsiveFor(r Record) time.Duration
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -232,6 +232,49 @@
 	}
 }
 
+// TestBusyLinkBetweenRegionsReplacesNoHolder guards against holders that are replaced by processes in another region, though they
+// run and are reached in their own, while the link between the regions is busy.
+func TestBusyLinkBetweenRegionsReplacesNoHolder(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	cl.update(func() {
+		for i := range 2 {
+			far := cl.leases[(i+1)%5]
+			far.Peers.(*fakePeers).replacementDelay = 2 * holderTimeout
+			cl.peerCuts[[2]string{far.Self.Node, holder.Self.Node}] = far != holder
+		}
+	})
+	for began := time.Now(); time.Since(began) < 5*holderTimeout/2; time.Sleep(time.Millisecond) {
+		if l := cl.validHolder(t); l != holder {
+			t.Fatalf("the holder was replaced after %v", time.Since(began))
+		}
+	}
+	cl.update(func() { clear(cl.peerCuts) })
+}
+
+// TestHolderIsReplacedInItsRegion guards against a lost holder that is replaced late, as processes of a higher rank in other
+// regions wait.
+func TestHolderIsReplacedInItsRegion(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	cl.update(func() {
+		for _, l := range cl.leases {
+			p := l.Peers.(*fakePeers)
+			p.near = l.Self.Node == nodeName(4)
+			if !p.near {
+				p.replacementDelay = 4 * holderTimeout
+			}
+			cl.peerCuts[[2]string{l.Self.Node, holder.Self.Node}] = l != holder
+		}
+		cl.storeCuts[holder.Self.Node] = true
+	})
+	cl.awaitHolder(t, "successor", 5*time.Second, func(l *Lease) bool { return l.Self.Node == nodeName(4) })
+}
+
 // TestReleaseSparesARefusingStore guards against a process that stops and floods a store that refuses its calls.
 func TestReleaseSparesARefusingStore(t *testing.T) {
 	t.Parallel()
