lease: a service whose holder gives up goes to the best placed process

Cause: the better placed processes have a head start over the others, which counted from the last change of the record.

The head start counts from the moment at which the process learned that the holder has given up.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -119,8 +119,8 @@
 	// indirectProbeInterval.
 	indirectProbes map[netip.AddrPort]bool
 
-	// givenUp has the revisions of the leases that their holders have reported as ended.
-	givenUp map[egret.Revision]bool
+	// givenUp has the revisions of the leases that their holders have reported as ended, and when this process learned it.
+	givenUp map[egret.Revision]clock.Time
 
 	// claims has the times at which MayAcquire allowed this process to acquire services.
 	claims map[string]clock.Time
@@ -159,7 +159,7 @@
 	f.records = map[string]egret.Item{}
 	f.indirectRoutes = map[netip.AddrPort]indirectRoute{}
 	f.indirectProbes = map[netip.AddrPort]bool{}
-	f.givenUp = map[egret.Revision]bool{}
+	f.givenUp = map[egret.Revision]clock.Time{}
 	f.claims = map[string]clock.Time{}
 	f.movedPingAt = map[netip.AddrPort]clock.Time{}
 }
--- a/fleet/isolation_test.go
+++ b/fleet/isolation_test.go
@@ -60,7 +60,7 @@
 	if _, lost := f.Reachability(); lost != 0 {
 		t.Errorf("%d services are lost, want 0: the store answers", lost)
 	}
-	f.givenUp[egret.Revision{Number: 6}] = true
+	f.givenUp[egret.Revision{Number: 6}] = clock.Now()
 	f.storeDownSince.Store(int64(clock.Now().Add(-2 * failFastAfter)))
 	f.applySnapshot(holderItems(t, 6, lease.Record{Node: "third", Incarnation: "1", Address: netip.MustParseAddrPort("127.0.0.1:3")}), egret.Revision{Number: 6})
 	if _, lost := f.Reachability(); lost != 1 {
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -421,16 +421,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, revision := range reply.GivenUp {
-		f.givenUp[revision] = true
+		if f.givenUp[revision] == 0 {
+			f.givenUp[revision] = clock.Now()
+		}
 	}
 	for _, l := range f.leases {
 		l.Wake()
 	}
 }
 
-// GaveUp reports whether the holder whose record has the revision has reported that its lease on
-// the service has ended.
-func (f *Fleet) GaveUp(revision egret.Revision) bool {
+// GaveUpAt returns when this process learned that the lease of the holder whose record has the revision has ended, or zero.
+func (f *Fleet) GaveUpAt(revision egret.Revision) clock.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.givenUp[revision]
--- a/fleet/router.go
+++ b/fleet/router.go
@@ -187,7 +187,7 @@
 		return "this process has lost its right to the service, and the store gives no answer to renew it"
 	case s.Record.Node == f.Self.ID:
 		return ""
-	case f.GaveUp(s.Revision):
+	case f.GaveUpAt(s.Revision) != 0:
 		return "the holder has given up the service, and the store gives no answer to replace it"
 	}
 	_, unansweredSince := f.Pool.Liveness(s.Record.Address)
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -89,7 +89,7 @@
 
 // causeOf returns the cause to acquire the lease if the record is the newest, or one without a name.
 func (l *Lease) causeOf(latest VersionedRecord, changedAt clock.Time, promised bool) cause {
-	r := latest.Record
+	r, gaveUpAt := latest.Record, l.Peers.GaveUpAt(latest.Revision)
 	switch {
 	case latest.Stored.Exists() && r.Released:
 		released := cause{
@@ -110,11 +110,11 @@
 			holderStopped: true,
 			preferred:     true,
 		}
-	case latest.Stored.Exists() && l.Peers.GaveUp(latest.Revision):
+	case latest.Stored.Exists() && gaveUpAt != 0:
 		return cause{
 			name:          "holder gave up",
 			holderStopped: true,
-			since:         changedAt,
+			since:         gaveUpAt,
 		}
 	case promised:
 		return cause{}
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -71,7 +71,13 @@
 				Incarnation: "1",
 				Address:     nodeAddress(i),
 			},
-			Peers:     &fakePeers{cluster: cl, index: i, total: n, unresponsiveSince: map[string]clock.Time{}},
+			Peers: &fakePeers{
+				cluster:           cl,
+				index:             i,
+				total:             n,
+				unresponsiveSince: map[string]clock.Time{},
+				gaveUpAt:          map[egret.Revision]clock.Time{},
+			},
 			Bootstrap: true,
 			OnValid:   func(*Lease) func() { return func() {} },
 		}
@@ -239,6 +245,7 @@
 
 	mu                sync.Mutex
 	unresponsiveSince map[string]clock.Time
+	gaveUpAt          map[egret.Revision]clock.Time
 }
 
 func (p *fakePeers) reaches(node string) bool {
@@ -275,13 +282,15 @@
 	return clock.Since(p.unresponsiveSince[r.Node])
 }
 
-func (p *fakePeers) GaveUp(revision egret.Revision) bool {
+func (p *fakePeers) GaveUpAt(revision egret.Revision) clock.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i, l := range p.cluster.leases {
-		if p.reaches(nodeName(i)) && l.GivenUpRevision() == revision {
-			return true
+		if p.reaches(nodeName(i)) && l.GivenUpRevision() == revision && p.gaveUpAt[revision] == 0 {
+			p.gaveUpAt[revision] = clock.Now()
 		}
 	}
-	return false
+	return p.gaveUpAt[revision]
 }
 
 func (p *fakePeers) Responds(_ context.Context, r Record) bool { return p.reaches(r.Node) }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -93,8 +93,8 @@
 	// another live process gets responses from it.
 	UnresponsiveFor(r Record) time.Duration
 
-	// GaveUp reports whether the holder at the revision has announced that its lease has ended.
-	GaveUp(revision egret.Revision) bool
+	// GaveUpAt returns when this process learned that the lease of the holder at the revision has ended, or zero.
+	GaveUpAt(revision egret.Revision) clock.Time
 
 	// Responds reports whether the process responds now.
 	Responds(ctx context.Context, r Record) bool
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -113,6 +113,34 @@
 	cl.awaitHolder(t, "successor", maxExtension+5*time.Second, func(l *Lease) bool { return l != holder })
 }
 
+// TestEndedLeaseGoesToBestPlacedProcess guards against a holder that gives up, and a service that goes to any of many processes, the
+// smallest ones too, after as many writes to the store.
+func TestEndedLeaseGoesToBestPlacedProcess(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 8)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	time.Sleep(2 * minVoterChangeInterval)
+	best := nodeName(0)
+	if holder.Self.Node == best {
+		best = nodeName(1)
+	}
+	cl.update(func() {
+		cl.storeCuts[holder.Self.Node] = true
+		cl.conflicts = 0
+	})
+	holder.DisableAcquisition()
+	next := cl.awaitHolder(t, "successor", maxExtension+3*time.Second, func(l *Lease) bool { return l != holder })
+	if next.Self.Node != best {
+		t.Errorf("%s has acquired the service, want %s", next.Self.Node, best)
+	}
+	cl.update(func() {
+		if cl.conflicts > 1 {
+			t.Errorf("%d writes of processes that came too late", cl.conflicts)
+		}
+	})
+}
+
 // TestHolderKeepsLeaseAfterPartition partitions all other processes from the store and from the holder. When the
 // partition heals, the holder must keep the lease.
 func TestHolderKeepsLeaseAfterPartition(t *testing.T) {
