lease: a cause to acquire a lease holds for one record only

Cause: a process looks for a cause to acquire a lease, confirms it with a ping of up to 0.3 s, and then replaces the newest record that it knows, which may be that of another successor by then. A cause that needs no wait, as "released", could be carried out on the record of a valid holder.

The cause has the revision of the key for which it holds, and nothing is written at another one.

TestSuccessorOfSilentHolderIsKept failed before, three runs of three: "n4 has replaced n1, which had just acquired the lease". TestCauseOfOlderRecordAcquiresNothing failed before: the record names the process that wasn't to acquire it.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -30,6 +30,9 @@
 
 	// since is when the cause began.
 	since clock.Time
+
+	// stored is the revision of the key for which the cause holds.
+	stored egret.Revision
 }
 
 // tryAcquire acquires the lease if there is a cause to. It returns true if there is none and the holder
@@ -71,6 +74,7 @@
 		return cause{}
 	}
 	why := l.causeOf(latest, changedAt, promised)
+	why.stored = latest.Stored
 	if !restored {
 		return why
 	}
@@ -138,7 +142,7 @@
 	}
 }
 
-// acquire replaces the latest known record by one that names this process, unless the key has changed since.
+// acquire replaces the record for which the cause holds by one that names this process, unless the key has changed since.
 func (l *Lease) acquire(ctx context.Context, why cause) {
 	ctx, cancel := context.WithTimeout(ctx, 2*operationTimeout)
 	defer cancel()
@@ -149,6 +153,9 @@
 	former, restored := l.latest, l.mayHaveLostRecords()
 	record := l.ownRecord()
 	l.mu.Unlock()
+	if former.Stored != why.stored {
+		return
+	}
 	record.Voters = l.Peers.Voters()
 	record.Awaits = slices.Clone(former.Record.Awaits)
 	record.AwaitsUnknown = former.Record.AwaitsUnknown || restored
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -236,9 +236,10 @@
 	index, total int
 
 	// near says that the process has no other of its region before it. replacementDelay is what ReplacementDelay returns.
-	// The cluster's mu guards both.
+	// pingTimeout is how long Responds waits for a process that can't be reached. The cluster's mu guards all three.
 	near             bool
 	replacementDelay time.Duration
+	pingTimeout      time.Duration
 
 	// responseChecks counts the calls of UnresponsiveFor.
 	responseChecks atomic.Int64
@@ -293,7 +294,16 @@
 	return p.gaveUpAt[revision]
 }
 
-func (p *fakePeers) Responds(_ context.Context, r Record) bool { return p.reaches(r.Node) }
+func (p *fakePeers) Responds(_ context.Context, r Record) bool {
+	reached := p.reaches(r.Node)
+	if !reached {
+		p.cluster.mu.Lock()
+		timeout := p.pingTimeout
+		p.cluster.mu.Unlock()
+		time.Sleep(timeout)
+	}
+	return reached
+}
 
 func (p *fakePeers) Stopped(context.Context, Record) bool { return false }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -303,6 +303,60 @@
 	cl.awaitHolder(t, "successor", 5*time.Second, func(l *Lease) bool { return l.Self.Node == nodeName(4) })
 }
 
+// TestSuccessorOfSilentHolderIsKept guards against a successor that is replaced at once by another process, which had found the holder
+// before it silent.
+func TestSuccessorOfSilentHolderIsKept(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	cl.update(func() {
+		cl.storeCuts[holder.Self.Node] = true
+		for i, l := range cl.leases {
+			p := l.Peers.(*fakePeers)
+			p.near = true
+			p.pingTimeout = time.Duration(3+i) * 100 * time.Millisecond
+			cl.peerCuts[[2]string{holder.Self.Node, l.Self.Node}] = l != holder
+		}
+	})
+	first := ""
+	for deadline := time.Now().Add(5 * time.Second); first == ""; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no process acquires the lease")
+		}
+		if v, err := decodeRecord(cl.takeCopy().item); err == nil && v.Record.Node != holder.Self.Node {
+			first = v.Record.Node
+		}
+	}
+	next := cl.awaitHolder(t, "successor", 5*time.Second, func(l *Lease) bool { return l != holder })
+	if next.Self.Node != first {
+		t.Errorf("%s has replaced %s, which had just acquired the lease", next.Self.Node, first)
+	}
+}
+
+// TestCauseOfOlderRecordAcquiresNothing guards against two holders: a process takes a service whose holder had released it, without a
+// wait, from the successor that it has learned of in the meantime.
+func TestCauseOfOlderRecordAcquiresNothing(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 3)
+	former := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	released := cl.takeCopy().item.Revision
+	holder := cl.successorOf(t, former)
+	time.Sleep(50 * time.Millisecond)
+	former.acquire(t.Context(), cause{
+		name:          "released",
+		holderStopped: true,
+		stored:        released,
+	})
+	if l := cl.validHolder(t); l != holder {
+		t.Error("the successor has lost the lease")
+	}
+	if v, err := decodeRecord(cl.takeCopy().item); err != nil || v.Record.Node != holder.Self.Node {
+		t.Errorf("the record names %q, %v", v.Record.Node, err)
+	}
+}
+
 // TestReleaseSparesARefusingStore guards against a process that stops and floods a store that refuses its calls.
 func TestReleaseSparesARefusingStore(t *testing.T) {
 	t.Parallel()
