watch: a gap in the store's history is filled by other processes

Cause: after the store has dropped its history, a process that others rely on lists all keys again, and can't tell what changed before. Those that rely on it get nothing more from it: one that reaches the store has to list too, and one that doesn't learns nothing.

All items are requested from another process then, at a revision that isn't older than what is known: by a process that relies on others, before it lists the store, and by one that can't reach the store, in every other request that follows a failed one. The request is the one for changes after no revision, which processes of earlier versions answer too.

TestGapIsFilledByPeers and TestGapCausesOneList failed before: "got [reset p/a], want [reset p/a reset p/b]"; both lists were of the store.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,9 @@
 	// storeRetryAt is when a process that relies on others may call the store next.
 	storeRetryAt clock.Time
 
+	// gapSuspected says that the last request for changes to another process failed while the store failed too.
+	gapSuspected bool
+
 	// storeConfirmed says that the store has responded since other processes gave changes last.
 	storeConfirmed bool
 
@@ -119,13 +123,21 @@
 	// At is the revision up to which the changes are complete.
 	At egret.Revision
 
-	// All says that Items are all keys that there are, as the store was restored after the requested revision.
+	// All says that Items are all keys that there are, and not only changes after the requested revision.
 	All bool
 }
 
 // Run watches the keys until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	last, fromPeer := egret.Revision{}, false
 	for ctx.Err() == nil {
+		// A list of another process that was followed by a gap again is older than the store's history.
+		if c, ok := w.listFromPeer(ctx, last); ok && !fromPeer {
+			fromPeer = true
+			last = w.follow(ctx, w.applyFromPeer(c, last))
+			continue
+		}
+		fromPeer = false
 		items, revision, err := w.Keys.List(ctx, w.Prefix)
 		if w.handleResult(ctx, err) {
 			if w.StartFromPeer {
@@ -136,18 +148,50 @@
 		w.EventLog.Event("keys-listed").Str("prefix", w.Prefix).Int("items", len(items)).Str("revision", revision.String()).Msg("listed all keys")
 		w.changes.replace(items, revision, true)
 		w.Reset(items, revision)
-		w.follow(ctx, revision)
+		last = w.follow(ctx, revision)
 	}
 	return nil
 }
 
-// follow delivers the changes after the revision until the history has a gap. After the zero revision it returns
-// without a call to the store if no other process gives the items.
-func (w *Watcher) follow(ctx context.Context, revision egret.Revision) {
+// listFromPeer requests all items from another process, unless this process watches the store itself. It returns false if
+// that process doesn't know them as they were at the revision or later.
+func (w *Watcher) listFromPeer(ctx context.Context, last egret.Revision) (Changes, bool) {
+	if !last.Exists() || w.ChangesFromPeer == nil || w.WatchesStore == nil || w.WatchesStore() {
+		return Changes{}, false
+	}
+	return w.requestAll(ctx, last)
+}
+
+// requestAll requests all items, as they were at the revision or later, from another process.
+func (w *Watcher) requestAll(ctx context.Context, last egret.Revision) (Changes, bool) {
+	c, ok := w.ChangesFromPeer(ctx, w.Prefix, egret.Revision{})
+	if !ok || c.At.Before(last) {
+		return Changes{}, false
+	}
+	c.All = true
+	c.Items = slices.DeleteFunc(slices.Clone(c.Items), func(item egret.Item) bool { return item.Removed })
+	return c, true
+}
+
+// requestChanges requests the changes after the revision from another process. While the store fails, every other request
+// after one that failed is for all items, as others don't know the changes before a gap in their history.
+func (w *Watcher) requestChanges(ctx context.Context, after egret.Revision) (Changes, bool) {
+	if w.gapSuspected && after.Exists() {
+		w.gapSuspected = false
+		return w.requestAll(ctx, after)
+	}
+	c, ok := w.ChangesFromPeer(ctx, w.Prefix, after)
+	w.gapSuspected = !ok && w.storeFailing.Load()
+	return c, ok
+}
+
+// follow delivers the changes after the revision until the history has a gap, and returns the revision up to which it has
+// delivered them. After the zero revision it returns without a call to the store if no other process gives the items.
+func (w *Watcher) follow(ctx context.Context, revision egret.Revision) egret.Revision {
 	for ctx.Err() == nil {
 		direct := w.WatchesStore == nil || w.WatchesStore()
 		if w.ChangesFromPeer != nil && (!direct || w.storeFailing.Load()) {
-			c, ok := w.ChangesFromPeer(ctx, w.Prefix, revision)
+			c, ok := w.requestChanges(ctx, revision)
 			interval := peerInterval
 			if ok && c.At.Era >= revision.Era {
 				if len(c.Items) > 0 {
@@ -168,7 +212,7 @@
 			}
 		}
 		if !revision.Exists() {
-			return
+			return revision
 		}
 		items, next, err := w.Keys.Watch(ctx, w.Prefix, revision, w.changesTimeout(direct))
 		if err != nil {
@@ -176,7 +220,7 @@
 		}
 		if errors.Is(err, egret.ErrCompacted) {
 			w.EventLog.Event("history-gone").Str("prefix", w.Prefix).Str("after", revision.String()).Err(err).Msg("the store doesn't have the changes after this revision; listing all keys")
-			return
+			return revision
 		}
 		if w.handleResult(ctx, err) {
 			continue
@@ -184,6 +228,7 @@
 		w.storeConfirmed = true
 		revision = w.apply(items, next, true)
 	}
+	return revision
 }
 
 // changesTimeout returns how long the next call waits for changes. A call that is sent in an outage may never get a
@@ -204,7 +249,7 @@
 		}
 		return w.apply(c.Items, c.At, false)
 	}
-	w.EventLog.Event("store-restored").Str("prefix", w.Prefix).Str("before", after.String()).Str("revision", c.At.String()).Msg("another process has seen that the store was restored from a copy")
+	w.EventLog.Event("keys-received").Str("prefix", w.Prefix).Int("items", len(c.Items)).Str("before", after.String()).Str("revision", c.At.String()).Msg("another process gave all keys, as there is a gap in the history, or as the store was restored from a copy")
 	w.changes.replace(c.Items, c.At, false)
 	w.Reset(c.Items, c.At)
 	return c.At
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -261,3 +261,83 @@
 		t.Errorf("%d changes of an earlier era were delivered", n)
 	}
 }
+
+// gapPeer gives all items at the revision, and no changes after an earlier one, like a process that has listed all keys after a
+// gap in the store's history.
+func gapPeer(revision egret.Revision) func(context.Context, string, egret.Revision) (Changes, bool) {
+	return func(_ context.Context, _ string, after egret.Revision) (Changes, bool) {
+		if after.Exists() {
+			return Changes{At: revision}, !after.Before(revision)
+		}
+		return Changes{
+			Items: []egret.Item{
+				{Key: "p/b", Revision: at(7)},
+				{Key: "p/a", Revision: at(8), Removed: true},
+			},
+			At: revision,
+		}, true
+	}
+}
+
+// TestGapIsFilledByPeers guards against a process that can't reach the store and learns nothing more after a gap in the store's
+// history, so that it refuses statements for services that others hold; and against old items of a peer that is behind.
+func TestGapIsFilledByPeers(t *testing.T) {
+	for _, c := range []struct {
+		peer egret.Revision
+		want []string
+	}{
+		{peer: at(20), want: []string{"reset p/a", "reset p/b"}},
+		{peer: at(9), want: []string{"reset p/a"}},
+	} {
+		t.Run(c.peer.String(), func(t *testing.T) {
+			t.Parallel()
+			events := make(chan string, 16)
+			w := peerWatch(&atomic.Bool{}, &atomic.Int64{}, events)
+			w.ChangesFromPeer = gapPeer(c.peer)
+			w.OnDisconnected, w.OnReconnected = nil, nil
+			w.Reset = func(items []egret.Item, _ egret.Revision) { events <- fmt.Sprint("reset ", items[0].Key) }
+			if err := runFor(t, w, 3*time.Second); err != nil {
+				t.Fatal(err)
+			}
+			got := []string{}
+			for len(events) > 0 {
+				got = append(got, <-events)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestGapCausesOneList guards against a store and links that are busy with lists of all keys to all processes of a large fleet when
+// the store has dropped its history: those that rely on others get the list from them.
+func TestGapCausesOneList(t *testing.T) {
+	resets := atomic.Int64{}
+	k := &scriptedKeys{
+		lists: [][]egret.Item{{{Key: "p/a", Revision: at(3)}}, {{Key: "p/b", Revision: at(20)}}},
+		steps: []func() ([]egret.Item, egret.Revision, error){
+			func() ([]egret.Item, egret.Revision, error) { return nil, at(0), errors.Trace(egret.ErrCompacted) },
+		},
+	}
+	w := peerWatch(&atomic.Bool{}, &atomic.Int64{}, make(chan string, 16))
+	w.Keys = k
+	w.ChangesFromPeer = gapPeer(at(20))
+	w.Reset = func([]egret.Item, egret.Revision) { resets.Add(1) }
+	if err := runFor(t, w, 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.lists) != 1 || resets.Load() != 2 {
+		t.Errorf("%d lists of the store are left, and %d were delivered, want 1 and 2", len(k.lists), resets.Load())
+	}
+}
+
+// runFor runs the Watcher for the time.
+func runFor(t *testing.T, w *Watcher, d time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	return w.Run(ctx)
+}
