fleet: observers run on the VMs with the most processor time and bandwidth

Cause: the processes that give the store's changes to all others were chosen by a hash, so that on the large deployment most of them have a tenth of the bandwidth of the largest VMs.

They are chosen by capacity first, like holders, and by the hash among equals, so that small deployments keep theirs.

TestObserversAreLargeVMs failed before (n0 and others with 20 Mbit/s).

--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -197,6 +197,26 @@
 	}
 }
 
+// TestObserversAreLargeVMs guards against changes that come late, as a process on a VM with a tenth of the others' bandwidth gives all
+// keys to many processes at once.
+func TestObserversAreLargeVMs(t *testing.T) {
+	f := largeFleet(t, 40, 1)
+	for id, n := range f.nodes {
+		n.Capacity = Capacity{Cores: 0.2, LinkMbps: 20}
+		if n.Domain == "d2" {
+			n.Capacity = Capacity{Cores: 0.8, LinkMbps: 200}
+		}
+		f.nodes[id] = n
+		f.largest = f.largest.max(n.Capacity)
+	}
+	observers, _ := f.observers()
+	for _, n := range observers {
+		if n.Domain != "d2" {
+			t.Errorf("%s with %+v watches the store for others", n.ID, n.Capacity)
+		}
+	}
+}
+
 // TestOtherRegionsReplaceHolderLater guards against takeovers from a holder that runs, by processes that only reach it over a
 // busy link between regions, and against a region of which none takes over as those of others rank before it.
 func TestOtherRegionsReplaceHolderLater(t *testing.T) {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -38,17 +38,20 @@
 }
 
 // observers returns the processes that watch the store for the others: those of this process's region, and those of the
-// other regions. Processes that know the same registrations choose the same observers.
+// other regions. They run on VMs with the most processor time and bandwidth. Processes that know the same registrations
+// choose the same observers.
 func (f *Fleet) observers() (near, far []Node) {
 	f.mu.Lock()
 	regions := map[string][]Node{}
 	for _, n := range f.nodes {
 		regions[n.Region] = append(regions[n.Region], n)
 	}
+	largest := f.largest
 	f.mu.Unlock()
 	for region, nodes := range regions {
 		slices.SortFunc(nodes, func(a, b Node) int {
-			return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+			return cmp.Or(cmp.Compare(b.Capacity.relativeTo(largest), a.Capacity.relativeTo(largest)),
+				cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)))
 		})
 		nodes = nodes[:min(len(nodes), observerCount)]
 		if region == f.Self.Region {
