fleet: silent processes have no head start

Cause: each better placed process has a head start of 150 ms, those on the other side of the partition too. The largest VMs come first and hold services, so that most of them are known to be silent.

A process that has left a request of this one unanswered for 0.25 s, and that was called within the last second, doesn't count. Holders that are silent are called five times a second. Others may answer again without a call that would show it, so older silence doesn't count.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -33,6 +33,9 @@
 	// probe it.
 	suspectAfter = 250 * time.Millisecond
 
+	// silenceMaxAge is how long after the last call to a process its silence counts.
+	silenceMaxAge = time.Second
+
 	// pruneInterval is the interval at which proxies that have ended are forgotten, and how long a proxy
 	// must have left requests unanswered to count as ended. It is far longer than any network partition
 	// that a holder survives.
@@ -49,7 +52,7 @@
 )
 
 // Rank returns how many registered processes are better placed than this one to hold the service. It
-// stops counting at the limit.
+// stops counting at the limit. Processes that are silent don't count.
 func (f *Fleet) Rank(service string, limit int) int {
 	return f.rank(service, limit, false)
 }
@@ -68,13 +71,19 @@
 		if inRegion && n.Region != f.Self.Region {
 			continue
 		}
-		if n.ID != p.holder && n.ID != f.Self.ID && p.score(&n) < own {
+		if n.ID != p.holder && n.ID != f.Self.ID && p.score(&n) < own && !f.silent(n.Address) {
 			better++
 		}
 	}
 	return better
 }
 
+// silent reports whether the process at the address answers no requests of this one. Holders are called often, others may
+// answer again without a call that would show it.
+func (f *Fleet) silent(a netip.AddrPort) bool {
+	return f.Pool.Silent(a, suspectAfter, silenceMaxAge)
+}
+
 // claimTime is for how long a service that this process may acquire counts as held by it, beside those whose records
 // show it. By then, the record shows whether it is.
 const claimTime = time.Second
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -197,6 +197,35 @@
 	}
 }
 
+// TestLostProcessesDelayNoTakeover guards against services that stay without a holder in a partition, as the processes that can
+// acquire them leave head starts to others that are on the other side.
+func TestLostProcessesDelayNoTakeover(t *testing.T) {
+	f := largeFleet(t, 40, 7)
+	lost := netip.MustParseAddrPort("127.0.0.1:2")
+	for id, n := range f.nodes {
+		if id != "n38" {
+			n.Address = lost
+			f.nodes[id] = n
+		}
+	}
+	f.Self = f.nodes["n39"]
+	before := f.Rank("s3", 99)
+	if before < 2 {
+		t.Fatalf("n39 has rank %d, which shows nothing", before)
+	}
+	if _, err := f.Pool.Ping(t.Context(), lost); err == nil {
+		t.Fatal("a ping to a closed port was answered")
+	}
+	time.Sleep(suspectAfter + 50*time.Millisecond)
+	if rank := f.Rank("s3", 99); rank > 1 {
+		t.Errorf("rank %d with one other process that isn't lost, %d before", rank, before)
+	}
+	time.Sleep(silenceMaxAge)
+	if rank := f.Rank("s3", 99); rank != before {
+		t.Errorf("rank %d after the others were not called for %v, want %d as before", rank, silenceMaxAge, before)
+	}
+}
+
 // TestObserversAreLargeVMs guards against changes that come late, as a process on a VM with a tenth of the others' bandwidth gives all
 // keys to many processes at once.
 func TestObserversAreLargeVMs(t *testing.T) {
--- a/link/pool.go
+++ b/link/pool.go
@@ -70,6 +70,9 @@
 	// is none. Statements and Changes don't set it: if their answers are late, the proxy is pinged.
 	unansweredSince clock.Time
 
+	// lastCall is the time of the last call by callPeer.
+	lastCall clock.Time
+
 	// lastCheck is the time of the last ping by pingIfDue.
 	lastCheck clock.Time
 }
@@ -95,6 +98,14 @@
 	return 0, 0
 }
 
+// Silent reports whether the proxy has left a request unanswered for the given time, and was called lately.
+func (p *Pool) Silent(a netip.AddrPort, unanswered, lately time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.peers[a]
+	return e != nil && e.unansweredSince != 0 && clock.Since(e.unansweredSince) > unanswered && clock.Since(e.lastCall) < lately
+}
+
 // peerFor returns the peer at the address. If it has no connection, it gets one, which the first call opens.
 func (p *Pool) peerFor(a netip.AddrPort) (*peer, error) {
 	p.mu.Lock()
@@ -199,8 +210,9 @@
 	}
 	p.mu.Lock()
 	conn, client := e.conn, e.client
+	e.lastCall = clock.Now()
 	if e.unansweredSince == 0 {
-		e.unansweredSince = clock.Now()
+		e.unansweredSince = e.lastCall
 	}
 	p.mu.Unlock()
 	if conn == nil {
