--- a/watch/watch.go
+++ b/watch/watch.go
@@ -131,11 +131,14 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	last, fromPeer := egret.Revision{}, false
 	for ctx.Err() == nil {
-		// A list of another process that was followed by a gap again is older than the store's history.
-		if c, ok := w.listFromPeer(ctx, last); ok && !fromPeer {
-			fromPeer = true
-			last = w.follow(ctx, w.applyFromPeer(c, last))
-			continue
+		// If a gap followed a list of another process again, that list was older than the store's history.
+		if !fromPeer {
+			c, ok := w.listFromPeer(ctx, last)
+			if ok {
+				fromPeer = true
+				last = w.follow(ctx, w.applyFromPeer(c, last))
+				continue
+			}
 		}
 		fromPeer = false
 		items, revision, err := w.Keys.List(ctx, w.Prefix)
