--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -22,6 +22,7 @@
 	"egretlane.example/egret/link"
 	"egretlane.example/egret/netopt"
 	"egretlane.example/egret/platform"
+	"egretlane.example/egret/rank"
 )
 
 const (
@@ -86,7 +87,7 @@
 			Address:     s.Listen.Peers,
 			Domain:      s.Domain,
 			Region:      s.Region,
-			Capacity: fleet.Capacity{
+			Capacity: rank.Capacity{
 				Cores:    s.Limits.ProcessorShare * s.Limits.ProcessorSpeed,
 				LinkMbps: s.Limits.LinkMbps,
 			},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"egretlane.example/egret/group"
 	"egretlane.example/egret/lease"
 	"egretlane.example/egret/link"
+	"egretlane.example/egret/rank"
 	"egretlane.example/egret/watch"
 )
 
@@ -42,7 +43,17 @@
 	Region string `json:"region"`
 
 	// Capacity is what the node's VM offers the proxy.
-	Capacity Capacity `json:"capacity"`
+	Capacity rank.Capacity `json:"capacity"`
+}
+
+// candidate returns the node as a candidate for holding a service.
+func (n *Node) candidate() rank.Candidate {
+	return rank.Candidate{
+		Node:     n.ID,
+		Domain:   n.Domain,
+		Region:   n.Region,
+		Capacity: n.Capacity,
+	}
 }
 
 // Fleet tracks the proxies and the holders of services. Its exported fields must be set before Run.
@@ -101,7 +112,7 @@
 	ownRevision egret.Revision
 
 	// largest has the most cores and the fastest link of all nodes that were registered since the last full list.
-	largest Capacity
+	largest rank.Capacity
 
 	leases map[string]*lease.Lease
 	lanes  map[string]*group.Lane
@@ -304,7 +315,7 @@
 	clear(f.nodes)
 	clear(f.records)
 	f.ownRevision = egret.Revision{}
-	f.largest = Capacity{}
+	f.largest = rank.Capacity{}
 	restored := f.listedAt != (egret.Revision{}) && f.listedAt.Era < at.Era
 	f.listedAt = at
 	f.mu.Unlock()
@@ -373,7 +384,7 @@
 		delete(f.nodes, id)
 	} else {
 		f.nodes[id] = n
-		f.largest = f.largest.max(n.Capacity)
+		f.largest = f.largest.Max(n.Capacity)
 	}
 	f.EventLog.Event("node-seen").Str("node", id).Str("incarnation", n.Incarnation).Bool("removed", item.Removed).Int("nodes", len(f.nodes)).Msg("the registration of a proxy changed")
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -8,11 +8,10 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/lease"
+	"egretlane.example/egret/rank"
 )
 
 const (
@@ -59,8 +58,8 @@
 
 // rank is Rank, among all processes or only those in the region of this one.
 func (f *Fleet) rank(service string, limit int, inRegion bool) int {
-	p := f.placement(service)
-	own := p.scoreWith(&f.Self, f.ownClaims(service))
+	o := f.order(service)
+	own := o.Score(f.Self.candidate(), f.ownClaims(service))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	better := 0
@@ -71,7 +70,7 @@
 		if inRegion && n.Region != f.Self.Region {
 			continue
 		}
-		if n.ID != p.holder && n.ID != f.Self.ID && p.score(&n) < own && !f.silent(n.Address) {
+		if n.ID != o.Holder && n.ID != f.Self.ID && o.Score(n.candidate(), 0) < own && !f.silent(n.Address) {
 			better++
 		}
 	}
@@ -162,55 +161,37 @@
 // Successor returns the ID of the process that is best placed to hold a service that this one releases,
 // or "" if there is none.
 func (f *Fleet) Successor(service string) string {
-	p := f.placement(service)
+	o := f.order(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, bestScore := "", uint64(0)
 	for _, n := range f.nodes {
-		if n.ID == p.holder || n.ID == f.Self.ID {
+		if n.ID == o.Holder || n.ID == f.Self.ID {
 			continue
 		}
-		if score := p.score(&n); best == "" || score < bestScore {
+		if score := o.Score(n.candidate(), 0); best == "" || score < bestScore {
 			best, bestScore = n.ID, score
 		}
 	}
 	return best
 }
 
-// placement orders the processes that may succeed the holder of a service: those that hold fewer services for their
-// capacity come first, then those in the failure domain of the service's primary, then by a hash that differs for each
-// service. A process in another region than the primary counts as holding regionPenalty times as much.
-type placement struct {
-	// service is the service's name. domain and region are those of its primary.
-	service, domain, region string
-
-	// holder is the ID of the current holder, or "". It is not a candidate.
-	holder string
-
-	// largest has the most cores and the fastest link of all processes.
-	largest Capacity
-
-	// serviceCounts is the number of services that each process holds. It is shared and must not be
-	// changed. The service itself counts only for its holder, which isn't a candidate.
-	serviceCounts map[string]int
-}
-
-// placement returns the order of the candidates for a service.
-func (f *Fleet) placement(service string) *placement {
-	p := &placement{
-		service:       service,
-		serviceCounts: f.serviceCounts(),
+// order returns the order of the candidates for a service.
+func (f *Fleet) order(service string) *rank.Order {
+	o := &rank.Order{
+		Service: service,
+		Counts:  f.serviceCounts(),
 	}
-	p.domain, p.region = f.PrimaryLocation(service)
+	o.Domain, o.Region = f.PrimaryLocation(service)
 	f.mu.Lock()
-	p.largest = f.largest
+	o.Largest = f.largest
 	f.mu.Unlock()
 	if l := f.Lease(service); l != nil {
 		if s, known := l.LatestRecord(); known && s.Stored.Exists() && !s.Record.Released {
-			p.holder = s.Record.Node
+			o.Holder = s.Record.Node
 		}
 	}
-	return p
+	return o
 }
 
 // countsMaxAge is how long the cached counts of services are used. With many services, each is placed
@@ -239,43 +220,6 @@
 	return counts
 }
 
-const (
-	// maxLoad is the highest load that a score distinguishes: it has 16 bits for the load.
-	maxLoad = 1<<16 - 1
-
-	// loadUnit is the load of one service on a process of the largest capacity.
-	loadUnit = 8
-
-	// regionPenalty is by how much a process in another region than the primary is ranked as more loaded. Each
-	// statement crosses between the regions twice there.
-	regionPenalty = 2
-)
-
-// score returns the rank key of a node. Better placed nodes have lower scores. It is called for each
-// process of the fleet many times a second, so it must not allocate.
-func (p *placement) score(n *Node) uint64 {
-	return p.scoreWith(n, 0)
-}
-
-// scoreWith is score for a node that holds more services than are counted.
-func (p *placement) scoreWith(n *Node, more int) uint64 {
-	load := float64(p.serviceCounts[n.ID]+more+1) * loadUnit / n.Capacity.relativeTo(p.largest)
-	if n.Region != p.region {
-		load *= regionPenalty
-	}
-	s := uint64(min(load, maxLoad)) << 48
-	if n.Domain != p.domain {
-		s += 1 << 47
-	}
-	d := xxhash.Digest{}
-	d.Reset()
-	// Writes to a digest never fail.
-	_, _ = d.WriteString(p.service)
-	_, _ = d.WriteString(" ")
-	_, _ = d.WriteString(n.ID)
-	return s + d.Sum64()>>17
-}
-
 // UnresponsiveFor returns how long the process has left requests unanswered. It is zero if the process answers, or
 // if another proxy has confirmed lately that it does.
 func (f *Fleet) UnresponsiveFor(r lease.Record) time.Duration {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -50,7 +50,7 @@
 	f.mu.Unlock()
 	for region, nodes := range regions {
 		slices.SortFunc(nodes, func(a, b Node) int {
-			return cmp.Or(cmp.Compare(b.Capacity.relativeTo(largest), a.Capacity.relativeTo(largest)),
+			return cmp.Or(cmp.Compare(b.Capacity.RelativeTo(largest), a.Capacity.RelativeTo(largest)),
 				cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)))
 		})
 		nodes = nodes[:min(len(nodes), observerCount)]
--- a/fleet/capacity.go
+++ b/rank/capacity.go
@@ -1,4 +1,4 @@
-package fleet
+package rank
 
 // Capacity is what a VM offers its proxy. Zero fields are unknown.
 type Capacity struct {
@@ -8,17 +8,17 @@
 	LinkMbps float64 `json:"link-mbps"`
 }
 
-// max returns the largest value of each field.
-func (c Capacity) max(other Capacity) Capacity {
+// Max returns the largest value of each field.
+func (c Capacity) Max(other Capacity) Capacity {
 	return Capacity{
 		Cores:    max(c.Cores, other.Cores),
 		LinkMbps: max(c.LinkMbps, other.LinkMbps),
 	}
 }
 
-// relativeTo returns the capacity as a fraction of the largest one, by the scarcer of processor and link. It is in
+// RelativeTo returns the capacity as a fraction of the largest one, by the scarcer of processor and link. It is in
 // (0, 1]. What is unknown counts as largest.
-func (c Capacity) relativeTo(largest Capacity) float64 {
+func (c Capacity) RelativeTo(largest Capacity) float64 {
 	fraction := 1.0
 	if c.Cores > 0 && largest.Cores > 0 {
 		fraction = min(fraction, c.Cores/largest.Cores)
