lease: a new service of a restored store is served at once

Callers of a service that the operator adds wait for 9.1 s, for as long as the store lives that was once restored: its missing record may be a lost one, so that nobody takes it for a service that never had a holder. Processes that were restarted did the same in the first era.

Cause: trusts a missing record in the first era only. But what a restore lost comes back or lapses: a holder writes its record again, or goes on with promises for 9 s at most since its last read of the era before.

A process that has known the era for longer than that takes a missing record for what it is.

TestNewServiceOfRestoredStoreIsServedSoon failed before: the lease is valid after 9.88 s. TestMissingRecordOfRestoredStoreIsWaitedFor, for a process that has just started, passes as it did.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -122,6 +122,9 @@
 	records  map[string]egret.Item
 	listedAt egret.Revision
 
+	// eraKnownSince is when this process learned of the era of listedAt, or zero.
+	eraKnownSince clock.Time
+
 	// indirectRoutes has, by the address of a holder that this process may not reach, a proxy that
 	// reaches it.
 	indirectRoutes map[netip.AddrPort]indirectRoute
@@ -316,7 +319,11 @@
 	clear(f.records)
 	f.ownRevision = egret.Revision{}
 	f.largest = rank.Capacity{}
-	restored := f.listedAt != (egret.Revision{}) && f.listedAt.Era < at.Era
+	first := f.listedAt == (egret.Revision{})
+	restored := !first && f.listedAt.Era < at.Era
+	if first || restored {
+		f.eraKnownSince = clock.Now()
+	}
 	f.listedAt = at
 	f.mu.Unlock()
 	for _, item := range items {
@@ -403,6 +410,13 @@
 	}
 }
 
+// EraKnownSince returns when this process learned of the current era of the store, or zero if it has read nothing.
+func (f *Fleet) EraKnownSince() clock.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.eraKnownSince
+}
+
 // allLeases returns the Leases of all services.
 func (f *Fleet) allLeases() []*lease.Lease {
 	f.mu.Lock()
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -160,8 +160,7 @@
 	record.Awaits = slices.Clone(former.Record.Awaits)
 	record.AwaitsUnknown = former.Record.AwaitsUnknown || restored
 	record.PrimaryUncertain = record.PrimaryUncertain || restored
-	first := l.Bootstrap && !former.Stored.Exists() && former.Record.Node == "" && former.Stored.Era <= firstEra
-	awaitFormer := !why.holderStopped && !first
+	awaitFormer := !why.holderStopped && !l.neverHeld(former)
 	if awaitFormer {
 		record.Awaits = append(record.Awaits, former.Record.Voters)
 	}
@@ -200,6 +199,20 @@
 	}
 }
 
+// neverHeld reports whether no process holds the service, as the store has no record of it. If the store was restored, or may
+// have been before this process started, a holder whose record is lost writes it again, or can't extend its lease by promises
+// for longer than maxExtension.
+func (l *Lease) neverHeld(former VersionedRecord) bool {
+	if former.Stored.Exists() || former.Record.Node != "" {
+		return false
+	}
+	if l.Bootstrap && former.Stored.Era <= firstEra {
+		return true
+	}
+	known := l.Peers.EraKnownSince()
+	return known != 0 && clock.Since(known) > maxExtension+clockDriftMargin
+}
+
 // confirmUnresponsive reports whether the store responds with an unchanged record and the holder still doesn't
 // respond. Without this check, a process that was partitioned from both would acquire every lease as soon as
 // the partition has healed.
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -31,6 +31,9 @@
 	peerCuts       map[[2]string]bool
 	lateWriteDelay time.Duration
 
+	// eraKnownSince is when the processes learned of the store's era.
+	eraKnownSince clock.Time
+
 	// changesHidden says that watches of the store deliver no changes.
 	changesHidden bool
 
@@ -48,6 +51,8 @@
 		lostReplies: map[string]bool{},
 		peerCuts:    map[[2]string]bool{},
 		revision:    egret.Revision{Era: 1, Number: 1},
+
+		eraKnownSince: clock.Now(),
 	}
 }
 
@@ -283,6 +288,12 @@
 	return clock.Since(p.unresponsiveSince[r.Node])
 }
 
+func (p *fakePeers) EraKnownSince() clock.Time {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.cluster.eraKnownSince
+}
+
 func (p *fakePeers) GaveUpAt(revision egret.Revision) clock.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -370,6 +381,7 @@
 	era := cl.revision.Era + 1
 	cl.item, cl.revision = c.item, c.revision
 	cl.revision.Era, cl.item.Revision.Era = era, era
+	cl.eraKnownSince = clock.Now()
 }
 
 // injectFaults sets random faults for a number of rounds, each for the given time: cut connections, lost replies,
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -93,6 +93,9 @@
 	// another live process gets responses from it.
 	UnresponsiveFor(r Record) time.Duration
 
+	// EraKnownSince returns when this process learned of the current era of the store, or zero if it has read nothing.
+	EraKnownSince() clock.Time
+
 	// GaveUpAt returns when this process learned that the lease of the holder at the revision has ended, or zero.
 	GaveUpAt(revision egret.Revision) clock.Time
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -609,6 +609,21 @@
 	cl.awaitHolder(t, "holder", maxExtension, func(*Lease) bool { return true })
 }
 
+// TestNewServiceOfRestoredStoreIsServedSoon guards against services that are configured long after a restore of the store and have no
+// holder for nine seconds, as each missing record may be a lost one.
+func TestNewServiceOfRestoredStoreIsServedSoon(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.revision.Era = 2
+	cl.eraKnownSince = clock.Now().Add(-2 * maxExtension)
+	cl.start(t, 3)
+	began := time.Now()
+	cl.awaitHolder(t, "holder", 2*maxExtension, func(*Lease) bool { return true })
+	if elapsed := time.Since(began); elapsed > missingRecordDelay+leaseTTL+time.Second {
+		t.Errorf("the lease is valid after %v", elapsed)
+	}
+}
+
 // TestUnseenHolderKeepsLeaseAfterRestore guards against two holders: the store comes back from a copy, to processes that
 // know neither the holder nor its record, while that is cut off from the store and goes on with promises.
 func TestUnseenHolderKeepsLeaseAfterRestore(t *testing.T) {
