watch: all keys are requested only after a gap

From 8 s to 14 s, 180 to 320 full lists of 130 KB a second pass between processes.

Cause: a process without the store requested all keys after any request that failed, and one observer of three, which is without the store too, fails each time.

All keys are requested after three failed requests in a row, each of which goes to another process at random.

TestFailedRequestsCauseNoLists failed before: 5 of 14 requests are for all keys. TestGapIsFilledByPeers and TestGapCausesOneList pass.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -37,6 +37,10 @@
 	// in force within seconds, and these requests cause no load on the store.
 	peerInterval = 250 * time.Millisecond
 
+	// maxPeerFailures is how many requests to other processes may fail in a row before all items are requested. Each goes to
+	// another process at random, some of which may not reach the store either.
+	maxPeerFailures = 3
+
 	// peerBatchInterval is the time to the next request after a response with changes. It limits the load that a
 	// process which is far behind puts on another one's network link.
 	peerBatchInterval = 50 * time.Millisecond
@@ -105,8 +109,8 @@
 	// storeRetryAt is when a process that relies on others may call the store next.
 	storeRetryAt clock.Time
 
-	// gapSuspected says that the last request for changes to another process failed while the store failed too.
-	gapSuspected bool
+	// peerFailures is how many requests for changes to other processes have failed in a row.
+	peerFailures int
 
 	// storeConfirmed says that the store has responded since other processes gave changes last.
 	storeConfirmed bool
@@ -176,15 +180,19 @@
 	return c, true
 }
 
-// requestChanges requests the changes after the revision from another process. While the store fails, every other request
-// after one that failed is for all items, as others don't know the changes before a gap in their history.
+// requestChanges requests the changes after the revision from another process. While the store fails, it requests all items
+// after maxPeerFailures failed requests in a row, as others don't know the changes before a gap in their history.
 func (w *Watcher) requestChanges(ctx context.Context, after egret.Revision) (Changes, bool) {
-	if w.gapSuspected && after.Exists() {
-		w.gapSuspected = false
+	if w.peerFailures >= maxPeerFailures && after.Exists() && w.storeFailing.Load() {
+		w.peerFailures = 0
 		return w.requestAll(ctx, after)
 	}
 	c, ok := w.ChangesFromPeer(ctx, w.Prefix, after)
-	w.gapSuspected = !ok && w.storeFailing.Load()
+	if ok {
+		w.peerFailures = 0
+	} else {
+		w.peerFailures++
+	}
 	return c, ok
 }
 
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -310,6 +310,25 @@
 	}
 }
 
+// TestFailedRequestsCauseNoLists guards against links and processors that are busy with lists of all keys, as some of the processes that
+// are asked for changes don't reach the store themselves.
+func TestFailedRequestsCauseNoLists(t *testing.T) {
+	requests, lists := atomic.Int64{}, atomic.Int64{}
+	w := peerWatch(&atomic.Bool{}, &atomic.Int64{}, make(chan string, 16))
+	w.ChangesFromPeer = func(_ context.Context, _ string, after egret.Revision) (Changes, bool) {
+		if !after.Exists() {
+			lists.Add(1)
+		}
+		return Changes{At: at(20)}, requests.Add(1)%maxPeerFailures == 0
+	}
+	if err := runFor(t, w, 3*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if lists.Load() > 0 {
+		t.Errorf("%d of %d requests are for all keys", lists.Load(), requests.Load())
+	}
+}
+
 // TestGapCausesOneList guards against a store and links that are busy with lists of all keys to all processes of a large fleet when
 // the store has dropped its history: those that rely on others get the list from them.
 func TestGapCausesOneList(t *testing.T) {
