review: acknowledged commits are lost when a replica drains

Tried: one replica drains, the other receives nothing for 6.5 s, the primary crashes meanwhile. Seen: the replica that received nothing is promoted 0.1 s later.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,7 +22,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (verdict, error){
-	"shutdown": runShutdown,
+	"shutdown":  runShutdown,
+	"sync-loss": runSyncLoss,
 }
 
 func main() {
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -198,23 +198,29 @@
 	next := time.Now()
 	for sequence := 1; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		id, data := m.Registration(sequence)
-		state := string(m.Role())
-		if strings.Contains(string(data), "draining") {
-			state += " draining"
-		}
-		if time.Now().Before(next) && state == lastState && id == last {
-			continue
-		}
-		if time.Now().After(next) {
+		due := !time.Now().Before(next)
+		if due {
 			next = time.Now().Add(heartbeatInterval)
 		}
-		sequence++
 		if id == "" {
-			if missed++; missed == 3 && last != "" {
+			// The platform removes an entry after three heartbeat intervals of silence.
+			if due {
+				missed++
+			}
+			if missed == 4 && last != "" {
 				w.store.Remove(membersPrefix + last)
+				last = ""
 			}
 			continue
 		}
+		state := string(m.Role())
+		if strings.Contains(string(data), "draining") {
+			state += " draining"
+		}
+		if !due && state == lastState && id == last {
+			continue
+		}
+		sequence++
 		if last != "" && last != id {
 			w.store.Remove(membersPrefix + last)
 		}
