review: a draining primary gets statements after drain_ms

Tried: the replicas crash, for 7 s or for good, just before the primary is to be replaced. Seen: the lane adopts the draining primary again and again while no replica can be promoted, and sends it all statements beyond drain_ms.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,8 +22,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (verdict, error){
-	"shutdown":  runShutdown,
-	"sync-loss": runSyncLoss,
+	"shutdown":    runShutdown,
+	"sync-loss":   runSyncLoss,
+	"drain-limit": runDrainLimit,
 }
 
 func main() {
--- a/review/lab/observer.go
+++ b/review/lab/observer.go
@@ -16,6 +16,13 @@
 	runAt      map[string]time.Time
 	commits    map[string]dbsim.Commit
 	promotions []dbsim.Promotion
+	executions []execution
+}
+
+// execution is a statement that a member has run.
+type execution struct {
+	id, member string
+	at         time.Time
 }
 
 func newObserver(r *record) *observer {
@@ -33,6 +40,11 @@
 	defer o.mu.Unlock()
 	o.runs[e.ID]++
 	o.runAt[e.ID] = time.Now()
+	o.executions = append(o.executions, execution{
+		id:     e.ID,
+		member: e.Member,
+		at:     time.Now(),
+	})
 	o.record.logf("%s runs %s %q %s", e.Member, e.ID, e.Text, e.Fault)
 }
 
