review: a late failover call makes a second primary

Tried: the primary is replaced while the platform is slow and carries the failover call out 4 s after it came. Seen: the holder calls for another replica meanwhile, which takes the lead, and loses it to the first one 1 s later; until it steps down its commits are acknowledged.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -25,6 +25,7 @@
 	"shutdown":    runShutdown,
 	"sync-loss":   runSyncLoss,
 	"drain-limit": runDrainLimit,
+	"late-order":  runLateOrder,
 }
 
 func main() {
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -65,6 +65,9 @@
 	// Proxies is the number of proxies.
 	Proxies int
 
+	// Spares is the number of further members, which don't run at first.
+	Spares int
+
 	record *record
 	store  *keysim.Server
 	folder string
@@ -138,19 +141,22 @@
 		History: 5000,
 	}
 	go w.store.Run(ctx)
-	for i := range domains {
+	for i := range len(domains) + w.Spares {
 		a, err := freeAddress()
 		if err != nil {
 			return err
 		}
 		w.Group.Members = append(w.Group.Members, &dbsim.Member{
 			Listen: a,
-			Domain: domains[i],
+			Domain: domains[i%len(domains)],
 		})
 	}
 	if err := w.Group.Open(ctx); err != nil {
 		return err
 	}
+	for _, m := range w.Group.Members[len(domains):] {
+		m.Crash()
+	}
 	go w.Group.Run(ctx)
 	for _, m := range w.Group.Members {
 		go w.sendHeartbeats(ctx, m)
