--- a/review/lab/lateorder.go
+++ b/review/lab/lateorder.go
@@ -77,6 +77,7 @@
 		acked: map[string]time.Time{},
 	}
 	running, stopWriters := context.WithCancel(ctx)
+	defer stopWriters()
 	wg := sync.WaitGroup{}
 	for i := range orderWriters {
 		wg.Go(func() { c.write(running, i) })
