--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,6 +19,9 @@
 // runTimeout ends a case that hangs.
 const runTimeout = 115 * time.Second
 
+// exitDelay is the time from the end of the context to the end of the program.
+const exitDelay = time.Second
+
 // verdict is the result of a case: the breaches of the rule that were seen.
 type verdict []string
 
@@ -53,6 +56,11 @@
 	defer cancel()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, func() {
+		// The processes of the case have been killed by then; the case itself may sleep.
+		time.Sleep(exitDelay)
+		os.Exit(2)
+	})
 	found, err := cases[os.Args[1]](ctx, r, os.Getenv("TROUBLE") != "0")
 	if err == nil {
 		err = ctx.Err()
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -157,14 +157,17 @@
 
 // start starts the platform, the members and the proxies, and waits until all proxies are ready and serve reads.
 func (w *world) start(ctx context.Context) error {
-	ctx, w.cancel = context.WithCancel(ctx)
-	// After a signal or the time limit, no process is left behind.
-	context.AfterFunc(ctx, w.kill)
 	folder, err := os.MkdirTemp("", "egretlane-review-")
 	if err != nil {
 		return err
 	}
 	w.folder = folder
+	ctx, w.cancel = context.WithCancel(ctx)
+	// After a signal or the time limit, no process and no folder is left behind.
+	context.AfterFunc(ctx, func() {
+		w.kill()
+		_ = os.RemoveAll(w.folder)
+	})
 	w.store = &keysim.Server{
 		History: 5000,
 	}
