review: a takeover that forgets the primary known to voters only

Tried: the store turns the holder of a service away while its primary is partitioned from it and from the replicas. The holder tells its voters the member that it promotes. A successor that need not wait for the former holder's voters doesn't ask them, and uses the recorded, superseded primary.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -31,6 +31,8 @@
 	"sync-loss":   runSyncLoss,
 	"drain-limit": runDrainLimit,
 	"late-order":  runLateOrder,
+	"lost-intent": runLostIntent,
+	"gone-member": runGoneMember,
 }
 
 func main() {
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -70,20 +71,32 @@
 	// Spares is the number of further members, which don't run at first.
 	Spares int
 
+	// Partitions puts a link between each proxy and each member, so that the two can be partitioned.
+	Partitions bool
+
+	// MissedHeartbeats is the number of heartbeats after which the platform removes a member's entry. Zero stands for 4.
+	MissedHeartbeats int
+
 	record *record
 	store  *keysim.Server
 	folder string
 	cancel context.CancelFunc
 
 	nodes   []*node
+	links   []*memberLink
 	version int
 
 	// addresses has the addresses that were given out.
 	addresses map[netip.AddrPort]bool
 
-	// mu guards processes, which has all processes that were started.
-	mu        sync.Mutex
+	// mu guards the fields below.
+	mu sync.Mutex
+
+	// processes has all processes that were started.
 	processes []*os.Process
+
+	// heartbeats has the time of each member's last heartbeat, by its address.
+	heartbeats map[netip.AddrPort]time.Time
 }
 
 // node is a proxy process.
@@ -171,6 +184,9 @@
 	w.store = &keysim.Server{
 		History: 5000,
 	}
+	if w.Partitions {
+		w.store.View = w.rewriteAddress
+	}
 	go w.store.Run(ctx)
 	for i := range len(domains) + w.Spares {
 		a, err := w.freeAddress()
@@ -189,16 +205,24 @@
 		m.Crash()
 	}
 	go w.Group.Run(ctx)
-	for _, m := range w.Group.Members {
-		go w.sendHeartbeats(ctx, m)
-	}
-	w.configure(w.Routes)
 	for i := range w.Proxies {
 		n, err := w.newNode(ctx, i)
 		if err != nil {
 			return err
 		}
 		w.nodes = append(w.nodes, n)
+	}
+	if w.Partitions {
+		if err := w.openLinks(ctx); err != nil {
+			return err
+		}
+	}
+	w.heartbeats = map[netip.AddrPort]time.Time{}
+	for _, m := range w.Group.Members {
+		go w.sendHeartbeats(ctx, m)
+	}
+	w.configure(w.Routes)
+	for _, n := range w.nodes {
 		if err := w.startProcess(n, true); err != nil {
 			return err
 		}
@@ -244,7 +268,7 @@
 			if due {
 				missed++
 			}
-			if missed == 4 && last != "" {
+			if missed == cmp.Or(w.MissedHeartbeats, 4) && last != "" {
 				w.store.Remove(membersPrefix + last)
 				last = ""
 			}
@@ -263,9 +287,21 @@
 		}
 		w.store.Put(membersPrefix+id, data)
 		last, lastState, missed = id, state, 0
+		if due {
+			w.mu.Lock()
+			w.heartbeats[m.Listen] = time.Now()
+			w.mu.Unlock()
+		}
 	}
 }
 
+// sinceHeartbeat returns how long ago the member has sent its last heartbeat.
+func (w *world) sinceHeartbeat(m *dbsim.Member) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.heartbeats[m.Listen])
+}
+
 // newNode allocates the addresses of a proxy and writes its settings as deploy/settings.yaml.tmpl does.
 func (w *world) newNode(ctx context.Context, i int) (*node, error) {
 	n := &node{
