--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
   echo "not built" >&2
   exit 2
 fi
-EGRETLANE="$root/target/egretlane" exec "$root/.bin/reviewlab" late-order "$here/record.txt"
+EGRETLANE="$root/target/egretlane" exec "$root/.bin/reviewlab" sync-loss "$here/record.txt"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
   echo "not built" >&2
   exit 2
 fi
-EGRETLANE="$root/target/egretlane" exec "$root/.bin/reviewlab" shutdown "$here/record.txt"
+EGRETLANE="$root/target/egretlane" exec "$root/.bin/reviewlab" gone-member "$here/record.txt"
