--- a/review/lab/gonemember.go
+++ b/review/lab/gonemember.go
@@ -10,18 +10,19 @@
 )
 
 const (
-	// behindFor is for how long a replica receives nothing before the primary crashes, and crashFor for how long the crashed
-	// members are down.
+	// behindFor is for how long a replica receives nothing before the primary crashes.
 	behindFor = 3 * time.Second
-	crashFor  = 7 * time.Second
 
-	// crashPhase is how long after its last heartbeat the replica crashes.
+	// crashFor is for how long the crashed primary is down.
+	crashFor = 7 * time.Second
+
+	// crashPhase is how long after its last heartbeat the replica is lost.
 	crashPhase = time.Second
 )
 
-// runGoneMember lets one replica of a service with a synchronous replica receive nothing for a while, and then the primary and
-// the other replica crash. Both come back with their logs. It checks that the member that is promoted has every acknowledged
-// commit.
+// runGoneMember lets one replica of a service with a synchronous replica receive nothing for a while. Then the other replica is
+// lost for good, and the primary crashes and comes back with its log. It checks that the member that is promoted has every
+// acknowledged commit.
 func runGoneMember(ctx context.Context, r *record, trouble bool) (verdict, error) {
 	o := newObserver(r)
 	w := &world{
@@ -88,6 +89,10 @@
 			}
 			r.logf("disruption: %s crashes", m.ID())
 			m.Crash()
+			if m == synced {
+				// It is lost for good.
+				continue
+			}
 			time.AfterFunc(crashFor, func() {
 				r.logf("disruption: %s starts again: %v", m.ID(), m.Start(ctx, false))
 			})
