lease, group: a successor learns from the voters which member leads

Cause: a holder that the store turns away tells only its voters which member it promotes. A successor asked these voters only if it had to wait for the former holder's lease. After "holder gave up", "holder at own address", an unwritten release or a former process that has stopped, it asked none and used the primary of the record. Release wrote the record without the primary that only the voters had. Two related paths: a successor that gave up waiting for a majority of the voters took the record for certain, and so did one whose voters had been restarted and had forgotten what they were told. Last, findPrimary adopted the recorded member although another one led a later term or was known to.

Change: each takeover but that of a released service asks the voters of the former record (Record.Unasked, inherited like Awaits). A voter says whether it has run since before the oldest of these records was written; if a majority may have forgotten an intent, or doesn't answer in maxIntentWait, the primary is uncertain, and the lane decides from what all members report.

Why it works: a primary that only voters know was sent to a majority of them. Any majority that answers has one of these, so the successor knows the primary, or knows that it doesn't.

--- a/egretlane/host.go
+++ b/egretlane/host.go
@@ -33,9 +33,9 @@
 	return n.fleet.GrantPromise(service, q)
 }
 
-// Fence refuses further promises to holders before the revision.
-func (n *node) Fence(service string, revision egret.Revision) lease.FenceReply {
-	return n.fleet.Fence(service, revision)
+// Fence refuses further promises to former holders of a service, and returns what this process knows of them.
+func (n *node) Fence(service string, q lease.Fence) lease.FenceReply {
+	return n.fleet.Fence(service, q)
 }
 
 // PingPeer asks the proxy at the address for its incarnation.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -452,8 +452,8 @@
 	return l != nil && l.GrantPromise(q)
 }
 
-// Fence refuses further promises to holders of a service whose records are older than the revision.
-func (f *Fleet) Fence(service string, revision egret.Revision) lease.FenceReply {
+// Fence refuses further promises to former holders of a service, and returns what this process knows of them.
+func (f *Fleet) Fence(service string, q lease.Fence) lease.FenceReply {
 	l := f.Lease(service)
 	if l == nil {
 		// Without the service's configuration, this process has given no promise since it started. A
@@ -462,5 +462,5 @@
 			Remaining: lease.PromiseDuration,
 		}
 	}
-	return l.Fence(revision)
+	return l.Fence(q)
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -462,7 +462,7 @@
 	return f.Pool.RequestPromise(ctx, v.Address, service, q)
 }
 
-// RequestFence asks a voter to refuse further promises to holders whose records are older than the revision.
-func (f *Fleet) RequestFence(ctx context.Context, v lease.Voter, service string, revision egret.Revision) (lease.FenceReply, error) {
-	return f.Pool.RequestFence(ctx, v.Address, service, revision)
+// RequestFence passes a fence of a service's former holders to a voter.
+func (f *Fleet) RequestFence(ctx context.Context, v lease.Voter, service string, q lease.Fence) (lease.FenceReply, error) {
+	return f.Pool.RequestFence(ctx, v.Address, service, q)
 }
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -208,6 +208,37 @@
 	}
 }
 
+// TestLaterPrimaryIsAdopted guards against writes at a primary that was replaced: the record names it, it still reports itself
+// primary, and another member leads a later term or is known to.
+func TestLaterPrimaryIsAdopted(t *testing.T) {
+	for name, down := range map[string]bool{"reachable": false, "down": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeService()
+			s.member("b", func(m *fakeMember) {
+				m.role, m.term, m.down = egret.RolePrimary, 2, down
+				m.position = egret.Position{Term: 2, Offset: 12}
+			})
+			s.member("c", func(m *fakeMember) {
+				m.term = 2
+				m.position = egret.Position{Term: 2, Offset: 12}
+			})
+			l, h := startLane(t, s)
+			h.mu.Lock()
+			h.primary = "a"
+			h.mu.Unlock()
+			l.SetMembers(s.backends())
+			awaitPrimary(t, l)
+			a := l.Stream().Do(context.Background(), write("1"))
+			if a.Fault.Kind != egret.FaultNone || a.Member == "a" {
+				t.Errorf("write: %+v, want b or c to answer", a)
+			}
+			if p := h.Primary(); p != a.Member {
+				t.Errorf("%q is recorded as the primary, want %q", p, a.Member)
+			}
+		})
+	}
+}
+
 // TestLostPrimaryIsReplacedWithUncertainRecord guards against a service without a primary, and against writes at a primary
 // that was replaced: the member that was promoted last is lost together with the record of it.
 func TestLostPrimaryIsReplacedWithUncertainRecord(t *testing.T) {
--- a/group/primary.go
+++ b/group/primary.go
@@ -67,24 +67,14 @@
 			recorded = ""
 		}
 		reports := l.askMembers(ctx)
-		best := -1
-		for i, r := range reports {
-			if r.err != nil || r.status.Role != egret.RolePrimary || recorded != "" && r.id != recorded {
-				continue
-			}
-			if best < 0 || r.status.Term > reports[best].status.Term {
-				best = i
-			}
-		}
-		if best >= 0 && uncertain && anotherMayLead(reports, reports[best].status.Term) {
-			best = -1
-		}
-		if best >= 0 && uncertain && !l.recordFound(ctx, reports, reports[best]) {
+		found, ok := reportedPrimary(reports, recorded)
+		ok = ok && !superseded(reports, found, uncertain)
+		if ok && found.id != recorded && (uncertain || recorded != "") && !l.recordFound(ctx, reports, found) {
 			l.sleep(ctx, maintenanceInterval/2)
 			continue
 		}
-		if best >= 0 {
-			l.adoptPrimary(reports[best], began, "found")
+		if ok {
+			l.adoptPrimary(found, began, "found")
 			return
 		}
 		if len(reports) > 0 && l.promotionNeeded(reports, recorded, clock.Since(began)) {
@@ -95,11 +85,27 @@
 	}
 }
 
-// anotherMayLead reports whether a member other than the one that reports itself primary of the term may be the primary of a
-// later one: a member doesn't answer, or knows a later term.
-func anotherMayLead(reports []statusReport, term uint64) bool {
+// reportedPrimary returns the report of the member that leads the latest term, if it is the recorded one, or if none is
+// recorded, or if the recorded one leads an earlier term. It returns false if there is none.
+func reportedPrimary(reports []statusReport, recorded string) (statusReport, bool) {
+	best, found, recordedLeads := statusReport{}, false, recorded == ""
+	for _, r := range reports {
+		if r.err != nil || r.status.Role != egret.RolePrimary {
+			continue
+		}
+		recordedLeads = recordedLeads || r.id == recorded
+		if !found || r.status.Term > best.status.Term {
+			best, found = r, true
+		}
+	}
+	return best, found && recordedLeads
+}
+
+// superseded reports whether a member may be the primary of a later term than the one that was found: a member knows a
+// later term, or doesn't answer although the recorded primary is uncertain.
+func superseded(reports []statusReport, found statusReport, uncertain bool) bool {
 	for _, r := range reports {
-		if r.err != nil || r.status.Term > term {
+		if r.err != nil && uncertain || r.err == nil && r.status.Term > found.status.Term {
 			return true
 		}
 	}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -150,20 +150,17 @@
 		return
 	}
 	l.mu.Lock()
-	former, restored := l.latest, l.mayHaveLostRecords()
+	former, newest, restored := l.latest, l.newest, l.mayHaveLostRecords()
 	record := l.ownRecord()
 	l.mu.Unlock()
 	if former.Stored != why.stored {
 		return
 	}
 	record.Voters = l.Peers.Voters()
-	record.Awaits = slices.Clone(former.Record.Awaits)
 	record.AwaitsUnknown = former.Record.AwaitsUnknown || restored
-	record.PrimaryUncertain = record.PrimaryUncertain || restored
+	record.PrimaryUncertain = former.Record.PrimaryUncertain || restored
 	awaitFormer := !why.holderStopped && !l.neverHeld(former)
-	if awaitFormer {
-		record.Awaits = append(record.Awaits, former.Record.Voters)
-	}
+	record.addFormer(former.Record, newest, awaitFormer, why.holderStopped)
 	revision, err := l.writeRecord(ctx, former.Stored, record)
 	l.EventLog.Event("service-claimed").Str("service", l.Service).Str("cause", why.name).Str("former", former.Record.Node).
 		Str("before", former.Stored.String()).Str("revision", revision.String()).Bool("stopped", why.holderStopped).
@@ -191,6 +188,8 @@
 	l.validUntil = 0
 	l.awaitedVoters, l.replacedAwaited = slices.Clone(record.Awaits), awaitFormer
 	l.awaitsUnknown = record.AwaitsUnknown
+	l.unaskedVoters = slices.Clone(record.Unasked)
+	l.intentsLost = false
 	l.votersUnreachable = false
 	l.acquiredAt = clock.Now()
 	l.usableFrom = clock.Now()
@@ -252,33 +251,52 @@
 	return VersionedRecord{}
 }
 
-// formerMayBeValid reports whether the lease of a former holder may still be valid. It advances the wait for
-// that: it checks whether the former holder has stopped, and else asks voters to refuse promises to it.
-func (l *Lease) formerMayBeValid(ctx context.Context) bool {
+// mustAwaitFormer reports whether this process can't use the service yet, as the lease of a former holder may be valid, or
+// as voters may have a newer primary than the record. It advances the wait: it checks whether the former holder has
+// stopped, and asks voters to refuse promises to it and to return its intents.
+func (l *Lease) mustAwaitFormer(ctx context.Context) bool {
+	if l.awaitsNoFormer() {
+		return false
+	}
 	l.mu.Lock()
 	remaining, replaced, awaited := clock.Until(l.usableFrom), l.replaced, l.replacedAwaited
-	fences := len(l.awaitedVoters) > 0 || l.awaitsUnknown
 	l.mu.Unlock()
-	if remaining <= 0 && !fences {
-		return false
-	}
 	if awaited && l.Peers.Stopped(ctx, replaced.Record) {
 		l.EventLog.Event("former-stopped").Str("service", l.Service).Str("former", replaced.Record.Node).Dur("spared", remaining).Msg("the former holder has stopped; no need to wait until its lease expires")
 		l.dropReplaced()
-		return true
 	}
-	if fences {
+	if l.hasVotersToAsk() {
 		l.fenceFormerHolders(ctx)
 	}
-	return true
+	return !l.awaitsNoFormer()
+}
+
+// awaitsNoFormer reports whether this process may use the service as soon as a read shows that it is the holder.
+func (l *Lease) awaitsNoFormer() bool {
+	return !l.hasVotersToAsk() && l.usableAt() <= clock.Now()
+}
+
+// usableAt returns when the lease of the former holder has expired.
+func (l *Lease) usableAt() clock.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usableFrom
+}
+
+// hasVotersToAsk reports whether voters of former holders have not answered yet.
+func (l *Lease) hasVotersToAsk() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.awaitedVoters) > 0 || len(l.unaskedVoters) > 0 || l.awaitsUnknown
 }
 
-// dropReplaced ends the wait for the replaced holder, which has stopped. If this process waits for no other
-// former holder, it may use the service at once.
+// dropReplaced ends the wait for the lease of the replaced holder, which has stopped. Its voters are still asked for its
+// intents. If this process waits for no other former holder, it may use the service once they have answered.
 func (l *Lease) dropReplaced() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if n := len(l.awaitedVoters); l.replacedAwaited && n > 0 {
+		l.unaskedVoters = append(l.unaskedVoters, l.awaitedVoters[n-1])
 		l.awaitedVoters = l.awaitedVoters[:n-1]
 	}
 	l.replacedAwaited, l.votersUnreachable = false, false
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -26,6 +26,7 @@
 	item           egret.Item
 	revision       egret.Revision
 	leases         []*Lease
+	stops          []context.CancelFunc
 	storeCuts      map[string]bool
 	lostReplies    map[string]bool
 	peerCuts       map[[2]string]bool
@@ -68,34 +69,65 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for i := range n {
-		l := &Lease{
-			Service: "s",
-			Keys:    &fakeKeys{cluster: cl, node: nodeName(i)},
-			Self: Identity{
-				Node:        nodeName(i),
-				Incarnation: "1",
-				Address:     nodeAddress(i),
-			},
-			Peers: &fakePeers{
-				cluster:           cl,
-				index:             i,
-				total:             n,
-				unresponsiveSince: map[string]clock.Time{},
-				gaveUpAt:          map[egret.Revision]clock.Time{},
-			},
-			Bootstrap: true,
-			OnValid:   func(*Lease) func() { return func() {} },
-		}
-		l.Init()
+		l := cl.newLease(i, n, "1")
 		l.Observe(egret.Item{Revision: egret.Revision{Era: cl.revision.Era}})
 		cl.leases = append(cl.leases, l)
 	}
 	for _, l := range cl.leases {
-		go func() { _ = l.Run(ctx) }()
+		runCtx, stop := context.WithCancel(ctx)
+		cl.stops = append(cl.stops, stop)
+		go func() { _ = l.Run(runCtx) }()
 	}
 	go cl.watch(ctx)
 }
 
+// newLease returns the Lease of a run of a process.
+func (cl *cluster) newLease(i, total int, incarnation string) *Lease {
+	l := &Lease{
+		Service: "s",
+		Keys:    &fakeKeys{cluster: cl, node: nodeName(i)},
+		Self: Identity{
+			Node:        nodeName(i),
+			Incarnation: incarnation,
+			Address:     nodeAddress(i),
+		},
+		Peers: &fakePeers{
+			cluster:           cl,
+			index:             i,
+			total:             total,
+			stopped:           map[string]bool{},
+			unresponsiveSince: map[string]clock.Time{},
+			gaveUpAt:          map[egret.Revision]clock.Time{},
+		},
+		Bootstrap: true,
+		OnValid:   func(*Lease) func() { return func() {} },
+	}
+	l.Init()
+	return l
+}
+
+// restart kills the processes and starts them again. They have forgotten everything.
+func (cl *cluster) restart(t *testing.T, processes ...int) {
+	t.Helper()
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, i := range processes {
+		cl.stops[i]()
+		cl.leases[i] = cl.newLease(i, len(cl.leases), cl.leases[i].Self.Incarnation+"+")
+		ctx, stop := context.WithCancel(context.Background())
+		t.Cleanup(stop)
+		cl.stops[i] = stop
+		go func(l *Lease) { _ = l.Run(ctx) }(cl.leases[i])
+	}
+}
+
+// running returns the Leases of the processes that run now.
+func (cl *cluster) running() []*Lease {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return slices.Clone(cl.leases)
+}
+
 // watch delivers the newest item to all processes that are connected to the store.
 func (cl *cluster) watch(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -126,11 +158,12 @@
 // validHolder returns the Lease that is valid, or nil if none is. It fails the test if there are two.
 func (cl *cluster) validHolder(t *testing.T) *Lease {
 	t.Helper()
-	for _, a := range cl.leases {
+	leases := cl.running()
+	for _, a := range leases {
 		if !a.Valid() {
 			continue
 		}
-		for _, b := range cl.leases {
+		for _, b := range leases {
 			if b != a && b.Valid() && a.Valid() {
 				t.Fatalf("%s and %s both hold a valid lease", a.Self.Node, b.Self.Node)
 			}
@@ -249,6 +282,9 @@
 	// responseChecks counts the calls of UnresponsiveFor.
 	responseChecks atomic.Int64
 
+	// stopped has the nodes whose processes this one knows to have stopped. The cluster's mu guards it.
+	stopped map[string]bool
+
 	mu                sync.Mutex
 	unresponsiveSince map[string]clock.Time
 	gaveUpAt          map[egret.Revision]clock.Time
@@ -297,7 +333,7 @@
 func (p *fakePeers) GaveUpAt(revision egret.Revision) clock.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, l := range p.cluster.leases {
+	for i, l := range p.cluster.running() {
 		if p.reaches(nodeName(i)) && l.GivenUpRevision() == revision && p.gaveUpAt[revision] == 0 {
 			p.gaveUpAt[revision] = clock.Now()
 		}
@@ -316,7 +352,11 @@
 	return reached
 }
 
-func (p *fakePeers) Stopped(context.Context, Record) bool { return false }
+func (p *fakePeers) Stopped(_ context.Context, r Record) bool {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.stopped[r.Node]
+}
 
 func (p *fakePeers) Voters() []Voter {
 	voters := []Voter{}
@@ -334,7 +374,7 @@
 		}
 		return nil, errCut
 	}
-	for _, l := range p.cluster.leases {
+	for _, l := range p.cluster.running() {
 		if l.Self.Node == v.Node {
 			return l, nil
 		}
@@ -352,12 +392,12 @@
 
 func (p *fakePeers) Everyone() []Voter { return p.Voters() }
 
-func (p *fakePeers) RequestFence(ctx context.Context, v Voter, _ string, revision egret.Revision) (FenceReply, error) {
+func (p *fakePeers) RequestFence(ctx context.Context, v Voter, _ string, q Fence) (FenceReply, error) {
 	l, err := p.peerLease(ctx, v)
 	if err != nil {
 		return FenceReply{}, err
 	}
-	return l.Fence(revision), nil
+	return l.Fence(q), nil
 }
 
 // storeCopy is a copy of the store of a cluster.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -114,8 +114,8 @@
 	// RequestPromise asks a process for a promise.
 	RequestPromise(ctx context.Context, v Voter, service string, q Promise) (bool, error)
 
-	// RequestFence asks a process to refuse promises to holders with a lower revision from now on.
-	RequestFence(ctx context.Context, v Voter, service string, revision egret.Revision) (FenceReply, error)
+	// RequestFence passes a fence to a process, which refuses promises to the fenced holders from now on.
+	RequestFence(ctx context.Context, v Voter, service string, q Fence) (FenceReply, error)
 }
 
 // Lease is one process's side of the lease on one service: it acquires, renews and releases the lease, and as a voter
@@ -198,6 +198,13 @@
 	awaitedVoters   [][]Voter
 	replacedAwaited bool
 
+	// unaskedVoters are the record's Unasked, until a majority of each list has returned its intents.
+	unaskedVoters [][]Voter
+
+	// intentsLost says that too few voters of a former holder have returned all intents that they received from it. Unlike
+	// the record's PrimaryUncertain, it may not be written to the store yet.
+	intentsLost bool
+
 	// votersUnreachable says that the last attempt to fence the former holders reached too few voters.
 	votersUnreachable bool
 
@@ -244,7 +251,7 @@
 			if idle := l.tryAcquire(ctx); idle {
 				timer.Reset(idleCheckInterval)
 			}
-		case l.formerMayBeValid(ctx):
+		case l.mustAwaitFormer(ctx):
 		case due || clock.Since(lastAttempt) >= renewInterval || !l.Valid():
 			lastAttempt = clock.Now()
 			if failing {
@@ -304,6 +311,9 @@
 		Bool("released", v.Record.Released).Str("primary", v.Record.Primary).Msg("the service's record changed")
 	previous := l.latest
 	l.eraChanged = l.eraChanged || l.latestKnown && v.Stored.Era > previous.Stored.Era
+	if !l.latestKnown {
+		l.voter.knownSince = v.Stored
+	}
 	l.latest = v
 	l.latestKnown = true
 	l.latestChangedAt = clock.Now()
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -23,6 +23,10 @@
 	// reach a majority of the voters waits that long. It is longer than usual outages of the store.
 	maxExtension = 9 * time.Second
 
+	// maxIntentWait is how long a successor of a holder that has stopped waits for a majority of its voters, for the intents
+	// that they have. It is longer than a promotion takes to come into effect after it was called for.
+	maxIntentWait = 2 * time.Second
+
 	// minVoterChangeInterval is the minimum time between a change of a record and an update of its voters. An
 	// update that also removes the record's Awaits doesn't wait.
 	minVoterChangeInterval = 2 * time.Second
@@ -55,6 +59,10 @@
 	// startedAt is when the process started. The promises of earlier runs of the process aren't known.
 	startedAt clock.Time
 
+	// knownSince is the revision of the key when this process read it first. Intents of holders with that record or an
+	// older one may have been sent to an earlier run of the process.
+	knownSince egret.Revision
+
 	// promisedUntil is when the last promise expires.
 	promisedUntil clock.Time
 
@@ -82,6 +90,15 @@
 	return true
 }
 
+// Fence is a successor's request to a voter to refuse further promises to former holders, and to return their intents.
+type Fence struct {
+	// Revision is the revision of the successor's record. Holders with a lower one are fenced.
+	Revision egret.Revision
+
+	// Since is the revision of the oldest record of the former holders.
+	Since egret.Revision
+}
+
 // FenceReply is a voter's response to a process that fences former holders.
 type FenceReply struct {
 	// Remaining is how much longer the voter's last promise is in force.
@@ -89,23 +106,34 @@
 
 	// Intent is the newest intent that the voter received.
 	Intent Intent
+
+	// Complete says that the voter has run since before the oldest of the former holders wrote its record, so that it
+	// remembers every intent that it received from them.
+	Complete bool
 }
 
 // Fence fences the holders with a lower revision: from now on, this process refuses promises to them.
-func (l *Lease) Fence(revision egret.Revision) FenceReply {
+func (l *Lease) Fence(q Fence) FenceReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.voter.minRevision = later(l.voter.minRevision, revision)
-	if l.heldRevision.Exists() && l.heldRevision.Before(revision) {
+	l.voter.minRevision = later(l.voter.minRevision, q.Revision)
+	if l.heldRevision.Exists() && l.heldRevision.Before(q.Revision) {
 		l.endLease("a successor asked this process to refuse promises to earlier holders")
 	}
 	expiry := max(l.voter.promisedUntil, l.voter.startedAt.Add(PromiseDuration))
 	return FenceReply{
 		Remaining: max(0, clock.Until(expiry)),
 		Intent:    l.voter.intent,
+		Complete:  l.rememberSince(q.Since),
 	}
 }
 
+// rememberSince reports whether this process has run since before the record with the revision was written. The caller
+// holds mu.
+func (l *Lease) rememberSince(revision egret.Revision) bool {
+	return l.latestKnown && l.voter.knownSince.Before(revision)
+}
+
 // extend extends the lease by promises of the voters while the store doesn't respond. It doesn't make an expired
 // lease valid again.
 func (l *Lease) extend(ctx context.Context) {
@@ -156,7 +184,7 @@
 }
 
 // queryVoters calls agrees concurrently for each voter but this process, which always agrees, and returns the
-// voters that agree.
+// voters that agree. It waits for all calls.
 func (l *Lease) queryVoters(voters []Voter, agrees func(v Voter) bool) []Voter {
 	mu := sync.Mutex{}
 	agreed := []Voter{}
@@ -193,64 +221,63 @@
 	return majority(voters) - 1
 }
 
+// maxFencing returns how long after the acquisition this process waits for the voters of former holders. The caller holds
+// mu.
+func (l *Lease) maxFencing() time.Duration {
+	if len(l.awaitedVoters) > 0 || l.awaitsUnknown {
+		return maxExtension + clockDriftMargin
+	}
+	return maxIntentWait
+}
+
 // fenceFormerHolders asks the voters of former holders to fence these, that is, to refuse them further promises, and all
-// processes if a former holder may be unknown. If too few do, this process waits until maxExtension and clockDriftMargin
-// have passed since it acquired the lease.
+// processes if a former holder may be unknown. If too few answer, this process waits until maxFencing has passed since it
+// acquired the lease. The primary is uncertain if a former holder may have sent an intent that no answer has.
 func (l *Lease) fenceFormerHolders(ctx context.Context) {
 	l.mu.Lock()
-	revision, acquiredAt := l.heldRevision, l.acquiredAt
-	promisedUntil, intent := l.voter.promisedUntil, l.voter.intent
-	lists, own := slices.Clone(l.awaitedVoters), l.latest.Record.Voters
-	everyone := []Voter{}
+	f := fencing{
+		lease:    l,
+		awaited:  slices.Clone(l.awaitedVoters),
+		unasked:  slices.Clone(l.unaskedVoters),
+		own:      l.latest.Record.Voters,
+		timedOut: clock.Since(l.acquiredAt) > l.maxFencing(),
+		request: Fence{
+			Revision: l.heldRevision,
+			Since:    l.latest.Record.AskedSince,
+		},
+		intent: l.voter.intent,
+		expiry: max(clock.Now(), l.voter.promisedUntil),
+	}
 	if l.awaitsUnknown {
-		everyone = l.Peers.Everyone()
+		f.everyone = l.Peers.Everyone()
 	}
 	l.mu.Unlock()
-	mu := sync.Mutex{}
-	expiry := max(clock.Now(), promisedUntil)
-	refusing := l.queryVoters(union(append(slices.Clone(lists), everyone)), func(v Voter) bool {
-		reply, err := l.Peers.RequestFence(ctx, v, l.Service, revision)
-		if err != nil {
-			return false
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		expiry = max(expiry, clock.Now().Add(reply.Remaining))
-		if reply.Intent.Order > intent.Order {
-			intent = reply.Intent
-		}
-		return true
-	})
-	extensionOver := clock.Since(acquiredAt) > maxExtension+clockDriftMargin
-	pending := 0
-	for _, list := range lists {
-		if !extensionOver && countIn(list, refusing) < majority(list) {
-			pending++
-		}
-	}
-	if !extensionOver && len(everyone)-countIn(everyone, refusing) > maxUnreached(own) {
-		pending++
-	}
-	l.EventLog.Event("voters-cleared").Str("service", l.Service).Str("revision", revision.String()).Int("lists", len(lists)).
-		Int("all", len(everyone)).Int("open", pending).Int("barred", len(refusing)).Bool("waited-out", extensionOver).Dur("lapse", clock.Until(expiry)).Msg("asked the voters of former holders to refuse promises to them")
+	f.run(ctx)
+	pending, incomplete := f.pending(), f.incomplete()
+	l.EventLog.Event("voters-cleared").Str("service", l.Service).Str("revision", f.request.Revision.String()).Int("lists", len(f.awaited)+len(f.unasked)).
+		Int("all", len(f.everyone)).Int("open", pending).Int("barred", len(f.refusing)).Bool("waited-out", f.timedOut).Bool("incomplete", incomplete).
+		Str("primary", f.intent.Primary).Dur("lapse", clock.Until(f.expiry)).Msg("asked the voters of former holders to refuse promises to them")
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heldRevision != revision {
+	if l.heldRevision != f.request.Revision {
 		return
 	}
 	l.votersUnreachable = pending > 0
 	if l.votersUnreachable {
 		return
 	}
-	l.awaitedVoters, l.awaitsUnknown = nil, false
-	l.usableFrom = max(l.usableFrom, expiry)
-	if intent.Order > l.voter.intent.Order {
-		l.voter.intent = intent
+	if len(f.awaited) > 0 || l.awaitsUnknown {
+		l.usableFrom = max(l.usableFrom, f.expiry)
+	}
+	l.awaitedVoters, l.unaskedVoters, l.awaitsUnknown = nil, nil, false
+	l.intentsLost = l.intentsLost || incomplete
+	if f.intent.Order > l.voter.intent.Order {
+		l.voter.intent = f.intent
 	}
 	// Voters keep an intent after it was written, and after another primary was written to the store.
 	record := l.latest.Record
-	if intent.Order > record.PrimaryOrder && intent.Primary != record.Primary && !record.PrimaryUncertain {
-		l.unwrittenIntent = intent
+	if f.intent.Order > record.PrimaryOrder && f.intent.Primary != record.Primary && !l.primaryUncertain() {
+		l.unwrittenIntent = f.intent
 	}
 }
 
--- a/lease/record.go
+++ b/lease/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 
 	"egretlane.example/egret"
 )
@@ -31,8 +32,8 @@
 	// than any, as processes of an earlier version write none.
 	PrimaryOrder uint64 `json:"primary-order,omitempty"`
 
-	// PrimaryUncertain says that Primary comes from a record that was written before the store was restored. Another member
-	// may have been promoted since.
+	// PrimaryUncertain says that another member may have been promoted since Primary was: the store was restored, or the
+	// intents of a former holder are lost.
 	PrimaryUncertain bool `json:"primary-uncertain,omitempty"`
 
 	// Voters are the processes whose promises can extend the lease while the store doesn't respond to the
@@ -46,6 +47,13 @@
 	// AwaitsUnknown says that a restored store may have lost the record of a holder whose lease may still be valid.
 	AwaitsUnknown bool `json:"awaits-unknown,omitempty"`
 
+	// Unasked has, for each former holder that has stopped without a release, the voters of its record. They may have
+	// intents that are newer than Primary. The holder removes the lists with Awaits.
+	Unasked [][]Voter `json:"unasked,omitempty"`
+
+	// AskedSince is the revision of the oldest record whose voters are in Awaits or Unasked.
+	AskedSince egret.Revision `json:"asked-since,omitzero"`
+
 	// Released says that the process has stopped using the service and released its lease.
 	Released bool `json:"released"`
 
@@ -53,6 +61,22 @@
 	Successor string `json:"successor"`
 }
 
+// addFormer adds the voters of a former holder and those of the holders before it to the lists of a new record. The newest
+// revision is that of the former holder's record. A record of a release has every intent of its holder.
+func (r *Record) addFormer(former Record, newest egret.Revision, mayBeValid, stopped bool) {
+	r.Awaits, r.Unasked = slices.Clone(former.Awaits), slices.Clone(former.Unasked)
+	r.AskedSince = former.AskedSince
+	if len(r.Awaits)+len(r.Unasked) == 0 {
+		r.AskedSince = newest
+	}
+	switch {
+	case mayBeValid:
+		r.Awaits = append(r.Awaits, former.Voters)
+	case stopped && !former.Released && len(former.Voters) > 0:
+		r.Unasked = append(r.Unasked, former.Voters)
+	}
+}
+
 // Voter is a process that a holder asks for promises. See Promise.
 type Voter struct {
 	Node    string         `json:"node"`
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -44,7 +44,7 @@
 	if !l.heldRevision.Exists() || l.validUntil != 0 || !l.votersUnreachable {
 		return 0
 	}
-	return max(0, clock.Until(l.acquiredAt.Add(maxExtension+clockDriftMargin)))
+	return max(0, clock.Until(l.acquiredAt.Add(l.maxFencing())))
 }
 
 // FencingToken returns the fencing token: that of the revision at which this process acquired the lease.
@@ -69,11 +69,17 @@
 	return l.latest.Record.Primary
 }
 
-// PrimaryUncertain reports that the store was restored since the primary was recorded.
+// PrimaryUncertain reports that another member may have been promoted since Primary was: the store was restored, or the
+// intents of a former holder are lost.
 func (l *Lease) PrimaryUncertain() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.unwrittenIntent.Primary == "" && l.latest.Record.PrimaryUncertain
+	return l.unwrittenIntent.Primary == "" && l.primaryUncertain()
+}
+
+// primaryUncertain reports whether the primary in the record is uncertain. The caller holds mu.
+func (l *Lease) primaryUncertain() bool {
+	return l.latest.Record.PrimaryUncertain || l.intentsLost
 }
 
 // Release ends the lease and writes to the record that other processes may acquire it, the successor first. The
@@ -82,14 +88,12 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	l.mu.Lock()
-	revision, record := l.heldRevision, l.latest.Record
+	revision, record := l.heldRevision, l.ownRecord()
 	l.mu.Unlock()
 	if !revision.Exists() {
 		return
 	}
 	record.Released = true
-	record.Awaits = nil
-	record.AwaitsUnknown = false
 	record.Successor = successor
 	for ctx.Err() == nil {
 		_, err := l.writeRecord(ctx, revision, record)
@@ -163,6 +167,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unwrittenIntent = Intent{}
+	l.intentsLost = false
 	if l.heldRevision == revision {
 		l.setHeld(written, record)
 	}
@@ -179,10 +184,12 @@
 		PrimaryOrder: l.latest.Record.PrimaryOrder,
 		Voters:       l.latest.Record.Voters,
 	}
-	r.PrimaryUncertain = l.latest.Record.PrimaryUncertain
+	r.PrimaryUncertain = l.primaryUncertain()
 	if l.heldRevision.Exists() && l.validUntil == 0 {
 		r.Awaits = l.latest.Record.Awaits
 		r.AwaitsUnknown = l.latest.Record.AwaitsUnknown
+		r.Unasked = l.latest.Record.Unasked
+		r.AskedSince = l.latest.Record.AskedSince
 	}
 	if l.unwrittenIntent.Primary != "" {
 		r.Primary, r.PrimaryOrder, r.PrimaryUncertain = l.unwrittenIntent.Primary, l.unwrittenIntent.Order, false
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -42,11 +42,12 @@
 func (h *fakeHost) PeerStream(bool) egret.Stream                                { return h }
 func (h *fakeHost) Close()                                                      {}
 func (h *fakeHost) Do(_ context.Context, w egret.StatementRequest) egret.Answer { return h.do(w) }
-func (h *fakeHost) Fence(_ string, r egret.Revision) lease.FenceReply {
+func (h *fakeHost) Fence(_ string, q lease.Fence) lease.FenceReply {
 	return lease.FenceReply{
 		Intent: lease.Intent{
-			Primary: r.String(),
+			Primary: q.Revision.String(),
 		},
+		Complete: q.Since == egret.Revision{Era: 2, Number: 4},
 	}
 }
 func (h *fakeHost) PingPeer(context.Context, netip.AddrPort) (string, error) {
@@ -214,9 +215,11 @@
 // older than all that it knows.
 func TestErasAreTransmitted(t *testing.T) {
 	address, _ := serveHost(t, &fakeHost{})
-	r := egret.Revision{Era: 3, Number: 9}
-	reply, err := newPool(t).RequestFence(t.Context(), address, "s", r)
-	if err != nil || reply.Intent.Primary != "3.9" {
+	reply, err := newPool(t).RequestFence(t.Context(), address, "s", lease.Fence{
+		Revision: egret.Revision{Era: 3, Number: 9},
+		Since:    egret.Revision{Era: 2, Number: 4},
+	})
+	if err != nil || reply.Intent.Primary != "3.9" || !reply.Complete {
 		t.Errorf("%+v %v", reply, err)
 	}
 }
--- a/link/pool.go
+++ b/link/pool.go
@@ -293,12 +293,14 @@
 	return r.GetGranted(), err
 }
 
-// RequestFence asks the proxy to refuse further promises to holders whose records are older than the revision.
-func (p *Pool) RequestFence(ctx context.Context, a netip.AddrPort, service string, revision egret.Revision) (lease.FenceReply, error) {
+// RequestFence passes a fence of a service's former holders to the proxy.
+func (p *Pool) RequestFence(ctx context.Context, a netip.AddrPort, service string, q lease.Fence) (lease.FenceReply, error) {
 	r, err := callPeer(ctx, p, a, pingTimeout, &linkpb.ClearRequest{
 		Service:  service,
-		Revision: revision.Number,
-		Era:      revision.Era,
+		Revision: q.Revision.Number,
+		Era:      q.Revision.Era,
+		Since:    q.Since.Number,
+		SinceEra: q.Since.Era,
 	}, linkpb.LinkClient.Clear)
 	return lease.FenceReply{
 		Remaining: time.Duration(r.GetLeftNs()),
@@ -306,6 +308,7 @@
 			Primary: r.GetPrimary(),
 			Order:   r.GetOrder(),
 		},
+		Complete: r.GetComplete(),
 	}, err
 }
 
--- a/link/server.go
+++ b/link/server.go
@@ -39,7 +39,7 @@
 	GrantPromise(service string, q lease.Promise) bool
 
 	// Fence refuses further promises to holders whose records are older than the revision.
-	Fence(service string, revision egret.Revision) lease.FenceReply
+	Fence(service string, q lease.Fence) lease.FenceReply
 
 	// PingPeer pings the proxy at the address and returns its incarnation.
 	PingPeer(ctx context.Context, a netip.AddrPort) (string, error)
@@ -124,11 +124,16 @@
 
 // Clear has the host refuse further promises to former holders of a service.
 func (s *Server) Clear(_ context.Context, r *linkpb.ClearRequest) (*linkpb.ClearReply, error) {
-	reply := s.Host.Fence(r.GetService(), revisionFromWire(r.GetEra(), r.GetRevision()))
+	reply := s.Host.Fence(r.GetService(), lease.Fence{
+		Revision: revisionFromWire(r.GetEra(), r.GetRevision()),
+		Since:    revisionFromWire(r.GetSinceEra(), r.GetSince()),
+	})
 	return &linkpb.ClearReply{
 		LeftNs:  int64(reply.Remaining),
 		Primary: reply.Intent.Primary,
 		Order:   reply.Intent.Order,
+
+		Complete: reply.Complete,
 	}, nil
 }
 
--- a/revision.go
+++ b/revision.go
@@ -11,11 +11,11 @@
 // in the order of revisions.
 type Revision struct {
 	// Era is one more than the number of times that the store was restored, or zero if the store doesn't tell.
-	Era uint64
+	Era uint64 `json:"era"`
 
 	// Number increases with each change in an era. It is zero if there is no change: as the revision of a key, it says that
 	// the key doesn't exist.
-	Number uint64
+	Number uint64 `json:"number"`
 }
 
 // Exists reports whether the revision is that of a change.
