front, egretlane: a process that stops answers every statement

Cause: the last Drain only waited. Until the process ended it went on reading statements of open transactions and passing them on, and those that waited for a holder or a slot kept the whole time of their route. Related: leases that became valid after SIGTERM, or were acquired and not valid yet, were never released; and services were released although no process could take them.

Change: EndAt sets the time at which all is answered. A statement gets no more time than is left; one that waits at the end gets the answer that is true for it (not run, or unknown). LastStatementTime before, sessions inside a transaction are closed with an error that says that nothing is kept. handOver releases leases until the process ends. A service that nobody can take is kept until then.

--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"egretlane.example/egret/clock"
 	"egretlane.example/egret/front"
 )
 
@@ -18,34 +19,59 @@
 	// those that have just answered, whose next statement may be on its way.
 	idleDrainTimeout = 1200 * time.Millisecond
 
-	// exitReserve is the part of the grace period that is left when the process stops waiting for running statements.
+	// exitReserve is the part of the grace period that is left when the process stops waiting for sessions to end.
 	exitReserve = 600 * time.Millisecond
 
+	// answerReserve is the time between the last moment at which a statement is answered and the end of the sessions.
+	answerReserve = 200 * time.Millisecond
+
 	// laneDrainTimeout is how long a lane waits for its transactions to end before its service is released.
 	laneDrainTimeout = 500 * time.Millisecond
+
+	// handOverInterval is the interval at which a process that stops looks for leases that it still holds.
+	handOverInterval = 50 * time.Millisecond
 )
 
-// shutDown leaves the fleet: it releases the services to other processes, and ends the sessions when they are idle.
+// shutDown leaves the fleet: it releases the services to other processes, and ends the sessions when they are idle. Each
+// statement that was read is answered before the grace period ends.
 func (n *node) shutDown(callers net.Listener) {
 	start := time.Now()
+	grace := time.Duration(n.settings.ShutdownGrace)
 	n.shuttingDown.Store(true)
 	n.eventLog.Event("process-leaving").Int("services", len(n.fleet.Lanes())).Msg("process is shutting down")
+	n.front.EndAt(clock.Now().Add(grace - exitReserve - answerReserve))
 	n.fleet.Leave()
-	wg := sync.WaitGroup{}
-	for _, l := range n.fleet.Lanes() {
-		wg.Go(func() {
-			l.Drain(laneDrainTimeout)
-			if held := n.fleet.Lease(l.Service); held != nil {
-				held.Release(context.Background(), n.fleet.Successor(l.Service))
-			}
-		})
-	}
-	wg.Wait()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.handOver(ctx, start.Add(grace-exitReserve-answerReserve-front.LastStatementTime))
 	time.Sleep(unreadyDelay - time.Since(start))
 	n.front.Drain(front.MinIdleTime, idleDrainTimeout)
 	// Callers that still connect are refused from now on and connect to another process. Running statements get their
 	// answers.
 	closeListener(callers)
-	left := n.front.Drain(0, time.Duration(n.settings.ShutdownGrace)-exitReserve-time.Since(start))
+	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
 }
+
+// handOver releases the services whose leases this process holds, until the context ends. A lease may become valid, or the
+// store confirm that it was acquired, after the shutdown has begun. A service that no other process can take is kept until
+// then or until the given time.
+func (n *node) handOver(ctx context.Context, keepUntil time.Time) {
+	for ctx.Err() == nil {
+		wg := sync.WaitGroup{}
+		for _, l := range n.fleet.AcquiredLeases() {
+			successor := n.fleet.Successor(l.Service)
+			if successor == "" && time.Now().Before(keepUntil) {
+				continue
+			}
+			wg.Go(func() {
+				if lane := n.fleet.Lane(l.Service); lane != nil {
+					lane.Drain(laneDrainTimeout)
+				}
+				l.Release(context.Background(), successor)
+			})
+		}
+		wg.Wait()
+		time.Sleep(handOverInterval)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -294,6 +294,24 @@
 	return lanes
 }
 
+// Lane returns the lane of a service that this process holds, or nil.
+func (f *Fleet) Lane(service string) *group.Lane {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lanes[service]
+}
+
+// AcquiredLeases returns the leases that this process has acquired, valid or not.
+func (f *Fleet) AcquiredLeases() []*lease.Lease {
+	acquired := []*lease.Lease{}
+	for _, l := range f.allLeases() {
+		if l.Acquired() {
+			acquired = append(acquired, l)
+		}
+	}
+	return acquired
+}
+
 // Lease returns this process's Lease of a service, or nil if the service isn't configured.
 func (f *Fleet) Lease(service string) *lease.Lease {
 	f.mu.Lock()
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -184,3 +184,108 @@
 	close(late.queries)
 	<-ended
 }
+
+// serveOne serves the connection until the test ends, as Serve does.
+func serveOne(t *testing.T, s *Server, c *fakeConn) <-chan struct{} {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s.cancel = cancel
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serve(ctx, c)
+	}()
+	<-c.waiting
+	return ended
+}
+
+// TestEndAnswersEveryStatement guards against connections that end without an answer when the process stops: a statement
+// waits for a holder, or for a member, for longer than the process runs.
+func TestEndAnswersEveryStatement(t *testing.T) {
+	stream := &fakeStream{
+		waits: true,
+	}
+	s := newTestServer(stream)
+	c := newFakeConn("orders")
+	ended := serveOne(t, s, c)
+	c.queries <- egret.Query{ID: "1", Verb: egret.VerbRead, Text: "READ a"}
+	for len(stream.received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.EndAt(clock.Now().Add(100 * time.Millisecond))
+	if left := s.Drain(0, time.Second); left != 0 {
+		t.Errorf("%d sessions are left", left)
+	}
+	<-ended
+	select {
+	case a := <-c.answers:
+		if a.Fault.Kind != egret.FaultBusy {
+			t.Errorf("%+v, want a refusal", a)
+		}
+	default:
+		t.Error("the session ended without an answer")
+	}
+}
+
+// TestEndShortensStatements guards against statements that get more time than the process runs.
+func TestEndShortensStatements(t *testing.T) {
+	stream := &fakeStream{
+		do: func(egret.StatementRequest) egret.Answer { return egret.Answer{Signature: "s"} },
+	}
+	s := newTestServer(stream)
+	c := newFakeConn("orders")
+	ended := serveOne(t, s, c)
+	s.EndAt(clock.Now().Add(500 * time.Millisecond))
+	c.queries <- egret.Query{ID: "1", Verb: egret.VerbRead, Text: "READ a"}
+	<-c.answers
+	if r := stream.received(); r[0].Timeout > 500*time.Millisecond-answerTransit {
+		t.Errorf("the statement has %v", r[0].Timeout)
+	}
+	close(c.queries)
+	<-ended
+}
+
+// TestEndClosesOpenTransactions guards against statements of open transactions that are read too late to be answered before
+// the process ends. Their callers are told that nothing is kept; before, the transaction goes on.
+func TestEndClosesOpenTransactions(t *testing.T) {
+	stream := &fakeStream{
+		do: func(egret.StatementRequest) egret.Answer { return egret.Answer{Signature: "s"} },
+	}
+	s := newTestServer(stream)
+	c := newFakeConn("orders")
+	once := sync.Once{}
+	c.onClose = func() { once.Do(func() { close(c.queries) }) }
+	ended := serveOne(t, s, c)
+	s.EndAt(clock.Now().Add(LastStatementTime + 500*time.Millisecond))
+	for i, q := range []egret.Query{
+		{ID: "1", Verb: egret.VerbBegin, Text: "BEGIN"},
+		{ID: "2", Verb: egret.VerbWrite, Text: "WRITE a b", Writes: true},
+	} {
+		c.queries <- q
+		if a := <-c.answers; a.Fault.Kind != egret.FaultNone {
+			t.Fatalf("%s failed: %v", q.Text, a.Fault)
+		}
+		if i == 0 {
+			go s.Drain(0, 5*time.Second)
+		}
+	}
+	select {
+	case <-ended:
+	case <-time.After(LastStatementTime + 400*time.Millisecond):
+		t.Fatal("the session is open until the process ends")
+	}
+	select {
+	case f := <-c.refusals:
+		if f.Kind != egret.FaultAborted {
+			t.Errorf("%+v, want that nothing is kept", f)
+		}
+	default:
+		t.Error("the caller was not told that the transaction is rolled back")
+	}
+	stream.mu.Lock()
+	defer stream.mu.Unlock()
+	if !stream.closed {
+		t.Error("the transaction was not rolled back")
+	}
+}
--- a/front/fake_test.go
+++ b/front/fake_test.go
@@ -68,15 +68,26 @@
 type fakeStream struct {
 	do func(req egret.StatementRequest) egret.Answer
 
+	// waits makes each statement wait for the end of its context instead, and be answered as refused.
+	waits bool
+
 	mu       sync.Mutex
 	requests []egret.StatementRequest
 	closed   bool
 }
 
-func (s *fakeStream) Do(_ context.Context, req egret.StatementRequest) egret.Answer {
+func (s *fakeStream) Do(ctx context.Context, req egret.StatementRequest) egret.Answer {
 	s.mu.Lock()
 	s.requests = append(s.requests, req)
 	s.mu.Unlock()
+	if s.waits {
+		<-ctx.Done()
+		return egret.Answer{
+			Fault: egret.Fault{
+				Kind: egret.FaultBusy,
+			},
+		}
+	}
 	return s.do(req)
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -14,6 +14,9 @@
 	"egretlane.example/egret/evlog"
 )
 
+// LastStatementTime is the least time that a statement of an open transaction gets when the server ends.
+const LastStatementTime = time.Second
+
 // MinIdleTime is how long a session should be idle before it is closed: several round trips to callers.
 const MinIdleTime = 60 * time.Millisecond
 
@@ -29,6 +32,10 @@
 	// drainPollInterval is how often Drain looks for idle sessions to close.
 	drainPollInterval = 10 * time.Millisecond
 
+	// answerTransit is the part of a statement's time that is left for its answer to arrive from another proxy when the
+	// server ends.
+	answerTransit = 150 * time.Millisecond
+
 	// defaultStatementTimeout applies to statements whose route has no budget.
 	defaultStatementTimeout = 5 * time.Second
 
@@ -72,12 +79,22 @@
 	// draining is set once Drain has been called.
 	draining atomic.Bool
 
+	// endsAt is the clock.Time that EndAt was called with, or zero.
+	endsAt atomic.Int64
+
+	// mu guards the fields below. cancel ends the context of all sessions; Serve sets it.
 	mu       sync.Mutex
 	sessions map[*session]struct{}
+	cancel   context.CancelFunc
 }
 
 // Serve accepts connections of callers until the listener is closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	// The sessions outlast the listener.
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.cancel = cancel
+	s.mu.Unlock()
 	for {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -92,14 +109,40 @@
 	}
 }
 
+// EndAt makes every statement end by the time. From now on, a statement gets no more time than is left, and one that still
+// waits at the end is answered with what is known of it. Sessions that wait for a further statement of a transaction are
+// closed LastStatementTime before, so that no statement is read that has no time to run. Drain has to be called as well.
+func (s *Server) EndAt(end clock.Time) {
+	s.endsAt.Store(int64(end))
+	s.mu.Lock()
+	cancel := s.cancel
+	s.mu.Unlock()
+	if cancel != nil {
+		time.AfterFunc(clock.Until(end), cancel)
+	}
+}
+
+// remaining returns how long a statement may take that is read now, and false if the server doesn't end.
+func (s *Server) remaining() (time.Duration, bool) {
+	end := clock.Time(s.endsAt.Load())
+	if end == 0 {
+		return 0, false
+	}
+	return clock.Until(end) - answerTransit, true
+}
+
 // Drain closes idle sessions until none is left or the timeout has passed, and returns how many are left. A
 // session is closed only after it has been idle for minIdle: right after an answer the caller's next statement
-// may be on its way, and would be lost. Running statements and open transactions are never interrupted.
+// may be on its way, and would be lost. Running statements are never interrupted, and open transactions only shortly
+// before the time that EndAt was called with.
 func (s *Server) Drain(minIdle, timeout time.Duration) int {
 	s.draining.Store(true)
 	began := clock.Now()
 	for {
 		left := s.CloseIdle(minIdle, clock.Now())
+		if remaining, ends := s.remaining(); ends && remaining < LastStatementTime {
+			s.closeTransactions()
+		}
 		if left == 0 || clock.Since(began) >= timeout {
 			return left
 		}
@@ -125,6 +168,27 @@
 	return len(s.sessions)
 }
 
+// closeTransactions closes the sessions that wait for a further statement of an open transaction, and tells their callers
+// that nothing of the transaction is kept.
+func (s *Server) closeTransactions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ss := range s.sessions {
+		if !ss.phase.CompareAndSwap(phaseInTransaction, phaseClosed) {
+			continue
+		}
+		s.EventLog.Event("transaction-ended").Str("database", ss.database).Msg("closed a session with an open transaction: the proxy ends")
+		go func() {
+			// Ignore the error: the caller may have disconnected already.
+			_ = ss.conn.Refuse(egret.Fault{
+				Kind: egret.FaultAborted,
+				Text: "the proxy ends; the transaction is rolled back",
+			})
+			ss.conn.Close()
+		}()
+	}
+}
+
 // serve runs one session from its startup to its end.
 func (s *Server) serve(ctx context.Context, c egret.CallerConn) {
 	defer c.Close()
--- a/front/session.go
+++ b/front/session.go
@@ -74,14 +74,16 @@
 
 // Phases of a session.
 const (
-	// phaseBusy: a statement or a transaction is in progress. Only the session's own goroutine may end the
-	// session.
+	// phaseBusy: a statement is in progress. Only the session's own goroutine may end the session.
 	phaseBusy int32 = iota
 
 	// phaseIdle: the session waits for the caller's next statement, with no transaction open.
 	phaseIdle
 
-	// phaseClosed: the server closed the connection while the session was idle.
+	// phaseInTransaction: the session waits for the caller's next statement, with a transaction open.
+	phaseInTransaction
+
+	// phaseClosed: the server closed the connection while the session waited for a statement.
 	phaseClosed
 )
 
@@ -89,16 +91,18 @@
 func (s *session) run(ctx context.Context) {
 	s.status = egret.TxIdle
 	for ctx.Err() == nil {
+		waiting := phaseInTransaction
 		if s.status == egret.TxIdle {
 			s.idleSince.Store(int64(clock.Now()))
-			s.phase.Store(phaseIdle)
+			waiting = phaseIdle
 		}
+		s.phase.Store(waiting)
 		q, err := s.conn.ReadQuery()
 		if err != nil {
 			s.handleReadError(err)
 			return
 		}
-		if s.status == egret.TxIdle && !s.phase.CompareAndSwap(phaseIdle, phaseBusy) {
+		if !s.phase.CompareAndSwap(waiting, phaseBusy) {
 			return
 		}
 		a := s.handle(ctx, &q)
@@ -244,6 +248,9 @@
 	}
 	began := clock.Now()
 	req := s.newRequest(q, r)
+	if remaining, ends := s.server.remaining(); ends {
+		req.Timeout = min(req.Timeout, remaining)
+	}
 	ctx, span := spans.Start(ctx, "caller", req.Query.ID, req.Service)
 	a := s.stream.Do(ctx, req)
 	spans.End(span, a.Member, a.Fault.Kind.String())
