group: a member that lacks commits of a draining one isn't promoted

Cause: promotionCandidate compared the best of the members that don't drain with the acknowledged commits, and gave up waiting once all members had reported. The reports of the draining replica and of the draining primary, which had the commits, were left out.

A draining replica is promoted if the primary is lost and no other has the commits.

Why it works: an acknowledged commit is on the primary and on as many replicas as the operator has set, so that any members that leave no more than these out include one that has it.

--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -37,6 +37,9 @@
 	// replicationPaused stops a replica from receiving commits.
 	replicationPaused bool
 
+	// draining says that the registration reports that the member will shut down, unregistered that there is none.
+	draining, unregistered bool
+
 	// unresponsive makes a member accept connections and answer nothing.
 	unresponsive bool
 
@@ -84,11 +87,15 @@
 	out := []egret.Backend{}
 	for _, id := range []string{"a", "b", "c"} {
 		m := s.members[id]
+		if m.unregistered {
+			continue
+		}
 		out = append(out, egret.Backend{
-			ID:      id,
-			Service: "s",
-			Slots:   2,
-			Role:    m.role,
+			ID:       id,
+			Service:  "s",
+			Slots:    2,
+			Role:     m.role,
+			Draining: m.draining,
 		})
 	}
 	return out
--- a/group/promote.go
+++ b/group/promote.go
@@ -39,7 +39,7 @@
 func (l *Lane) switchOver(ctx context.Context) {
 	began := clock.Now()
 	for clock.Since(began) < switchoverLagTimeout && ctx.Err() == nil && l.Lease.Valid() {
-		candidate, found := l.mostAdvanced(l.askMembers(ctx))
+		candidate, found := l.mostAdvanced(l.askMembers(ctx), false)
 		if found && l.commitsBehind(candidate) <= maxSwitchoverLagCommits {
 			break
 		}
@@ -91,7 +91,7 @@
 func (l *Lane) awaitCaughtUp(ctx context.Context) {
 	began := clock.Now()
 	for clock.Since(began) < catchUpTimeout && ctx.Err() == nil {
-		candidate, found := l.mostAdvanced(l.askMembers(ctx))
+		candidate, found := l.mostAdvanced(l.askMembers(ctx), false)
 		if found && l.commitsBehind(candidate) == 0 {
 			return
 		}
@@ -100,14 +100,14 @@
 }
 
 // mostAdvanced returns the report of the replica with the newest log end, of those that are reachable, registered and
-// not draining. It returns false if there is none.
-func (l *Lane) mostAdvanced(reports []statusReport) (statusReport, bool) {
+// draining or not. It returns false if there is none.
+func (l *Lane) mostAdvanced(reports []statusReport, draining bool) (statusReport, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best, found := statusReport{}, false
 	for _, r := range reports {
 		m := r.member
-		if r.err != nil || m.unreachable || r.id == l.primary || m.backend.Draining || m.missingSince != 0 {
+		if r.err != nil || m.unreachable || r.id == l.primary || m.backend.Draining != draining || m.missingSince != 0 {
 			continue
 		}
 		if !found || r.status.Received.Compare(best.status.Received) > 0 {
@@ -150,28 +150,17 @@
 	l.awaitPrimary(ctx, candidate, term, began, old)
 }
 
-// promotionCandidate returns the replica to promote, or false if none can be promoted now. With synchronous replicas,
-// one that lacks an acknowledged commit is only promoted if every member but the primary has reported its log's end, as
-// a member that did not report may have the commit.
+// promotionCandidate returns the replica to promote, or false if none can be promoted now.
 func (l *Lane) promotionCandidate(reports []statusReport) (statusReport, bool) {
-	best, found := l.mostAdvanced(reports)
-	if !found {
-		return best, false
-	}
-	l.mu.Lock()
-	sync := l.syncReplicas > 0
-	reported := 0
-	for _, r := range reports {
-		if r.err == nil && r.id != l.primary {
-			reported++
-		}
+	best, found := l.mostAdvanced(reports, false)
+	if found && l.hasCommits(best, reports) {
+		return best, true
 	}
-	others := len(l.members) - 1
-	l.mu.Unlock()
-	if sync && l.commitsBehind(best) > 0 && reported < others {
-		return best, false
+	// A draining replica can lead until another one has caught up with it.
+	if best, found = l.mostAdvanced(reports, true); found && !l.primaryReports(reports) && l.hasCommits(best, reports) {
+		return best, true
 	}
-	return best, true
+	return statusReport{}, false
 }
 
 // reconsiderPrimary lets the old primary be adopted or promoted again, after no replica could be promoted. It does
