group, lease: members that count as gone keep their acknowledged commits

Cause: the members that had to report the end of their logs were counted among those with a registration. Once that of the lost replica had been removed, the replica that lacked the commits counted as the only one. Related: a new holder knows neither the commits that the former one acknowledged nor the members without a registration, and promoted what it found.

Change: Lane.committed has the members that may have acknowledged commits, from the time when the primary was last known. A member that leaves is kept until enough replicas have every commit without it. The record keeps the set for the next holder (Record.Members, only with synchronous replicas). A member that started again counts as silent; the successor at the address of a draining one stands for it. Without the members that it needs, the service waits, or the operator sets sync_replicas to 0.

Why it works: the set outlasts registrations and holders, so that the count of silent members includes all that may have the commit.

--- a/group/commits_test.go
+++ b/group/commits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -93,3 +94,110 @@
 		t.Errorf("%q were promoted, want b first", p)
 	}
 }
+
+// TestGoneMembersKeepCommits guards against acknowledged commits that are lost once the members that have them count as gone:
+// the registration of the replica, or of both, has been removed, and the primary comes back later with its log.
+func TestGoneMembersKeepCommits(t *testing.T) {
+	for _, gone := range []string{"b", "ab"} {
+		t.Run(gone, func(t *testing.T) {
+			t.Parallel()
+			s := newFakeService()
+			l, _ := startSyncLane(t, s)
+			s.change(l, "ab", func(m *fakeMember) { m.down = true })
+			s.change(l, gone, func(m *fakeMember) { m.unregistered = true })
+			neverPromoted(t, s, "c", missingMemberTimeout+2*time.Second)
+			s.change(l, "a", func(m *fakeMember) { m.down, m.unregistered = false, false })
+			eventually(t, "answer of the primary that is back", func() bool {
+				a := l.Stream().Do(context.Background(), write("2"))
+				return a.Fault.Kind == egret.FaultNone && a.Member == "a"
+			})
+		})
+	}
+}
+
+// TestNextHolderKeepsCommits guards against acknowledged commits that are lost with the holder: the next one knows neither
+// which commits were acknowledged nor the members whose registrations have been removed. The operator may give them up.
+func TestNextHolderKeepsCommits(t *testing.T) {
+	s := newFakeService()
+	l, h := startSyncLane(t, s)
+	eventually(t, "record of the members", func() bool { return len(h.Members()) == 3 })
+	l.Close()
+	s.change(l, "ab", func(m *fakeMember) { m.down, m.unregistered = true, true })
+	next, h2 := newLane(s)
+	h2.members, h2.primary = h.Members(), "a"
+	runLane(t, next)
+	configureSync(next, 1)
+	next.SetMembers(s.backends())
+	neverPromoted(t, s, "c", primarySearchTimeout+2*time.Second)
+	configureSync(next, 0)
+	eventually(t, "promotion without synchronous replicas", func() bool { return slices.Contains(s.promotions(), "c") })
+}
+
+// TestReplacedMemberIsNotAwaited guards against a service without a primary for good: a member that has left stays among those
+// that may have commits, though a replica has all of them, or though its log is at its successor.
+func TestReplacedMemberIsNotAwaited(t *testing.T) {
+	s := newFakeService()
+	l, h := startSyncLane(t, s)
+	eventually(t, "record of the members", func() bool { return len(h.Members()) == 3 })
+	s.change(l, "b", func(m *fakeMember) { m.down, m.unregistered = true, true })
+	time.Sleep(missingMemberTimeout + 3*maintenanceInterval)
+	if n := len(h.Members()); n != 3 {
+		t.Errorf("%d members are recorded while no replica has the commits of the one that left, want 3", n)
+	}
+	s.catchUp("c", "a")
+	eventually(t, "removal of the member that left", func() bool {
+		// Its answer shows the position of the replica.
+		l.Stream().Do(context.Background(), read("2"))
+		return len(h.Members()) == 2
+	})
+	s.member("a", func(m *fakeMember) { m.down = true })
+	eventually(t, "promotion", func() bool {
+		w := write("3")
+		w.Timeout = 300 * time.Millisecond
+		l.Stream().Do(context.Background(), w)
+		return slices.Contains(s.promotions(), "c")
+	})
+}
+
+// TestUnseenMembers checks which reports stand for a member that may have commits.
+func TestUnseenMembers(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:1")
+	started := time.UnixMilli(1000)
+	old := egret.KnownMember{
+		ID:        "m",
+		StartTime: started,
+		Address:   address,
+	}
+	draining := old
+	draining.Draining = true
+	for _, c := range []struct {
+		name  string
+		known egret.KnownMember
+		id    string
+		start time.Time
+		want  int
+	}{
+		{name: "same process", known: old, id: "m", start: started},
+		{name: "started again", known: old, id: "m", start: started.Add(time.Second), want: 1},
+		{name: "other at its address", known: old, id: "n", start: started.Add(time.Second), want: 1},
+		{name: "successor at its address", known: draining, id: "n", start: started.Add(time.Second)},
+	} {
+		l := Lane{
+			historyComplete: true,
+			committed:       map[string]egret.KnownMember{"m": c.known},
+		}
+		got := l.unseenMembers([]statusReport{{
+			id: c.id,
+			member: &member{
+				backend: egret.Backend{
+					ID:        c.id,
+					StartTime: c.start,
+					Address:   address,
+				},
+			},
+		}})
+		if got != c.want {
+			t.Errorf("%s: %d members unseen, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -313,6 +313,8 @@
 	invalid bool
 	primary string
 
+	members []egret.KnownMember
+
 	// uncertain says that the store was restored since the primary was recorded.
 	uncertain bool
 }
@@ -346,15 +348,27 @@
 	return nil
 }
 
+func (h *fakeLease) Members() []egret.KnownMember {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.members
+}
+
+func (h *fakeLease) SetMembers(_ context.Context, members []egret.KnownMember) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members = members
+	return nil
+}
+
 func (h *fakeLease) setInvalid(invalid bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.invalid = invalid
 }
 
-// startLane runs a lane over the service until the test ends.
-func startLane(t *testing.T, s *fakeService) (*Lane, *fakeLease) {
-	t.Helper()
+// newLane returns a lane over the service.
+func newLane(s *fakeService) (*Lane, *fakeLease) {
 	h := &fakeLease{}
 	l := &Lane{
 		Service:  "s",
@@ -363,13 +377,26 @@
 		Lease:    h,
 	}
 	l.Init()
+	return l, h
+}
+
+// runLane runs the lane until the test ends.
+func runLane(t *testing.T, l *Lane) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = l.Run(ctx) }()
+}
+
+// startLane runs a lane over the service until the test ends.
+func startLane(t *testing.T, s *fakeService) (*Lane, *fakeLease) {
+	t.Helper()
+	l, h := newLane(s)
 	l.Configure(&egret.Pool{
 		Name:        "s",
 		Connections: 16,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = l.Run(ctx) }()
+	runLane(t, l)
 	return l, h
 }
 
--- a/group/lane.go
+++ b/group/lane.go
@@ -24,6 +24,9 @@
 	// expired in an outage of the store is back within about two seconds after the outage.
 	missingMemberTimeout = 2500 * time.Millisecond
 
+	// recordRetryInterval is the least time between two attempts to record the members of a service.
+	recordRetryInterval = 500 * time.Millisecond
+
 	// maintenanceInterval is the interval between checks of the members and the primary without an event that
 	// triggers one.
 	maintenanceInterval = 100 * time.Millisecond
@@ -88,6 +91,13 @@
 	// historyComplete is set once history covers every acknowledged commit, so that floors computed from it are safe.
 	historyComplete bool
 
+	// committed has the members that may have acknowledged commits, by ID: those of the group while its primary was last
+	// known.
+	committed map[string]egret.KnownMember
+
+	// committedTried is when the record of committed was last written, or tried to. Only Run uses it.
+	committedTried time.Time
+
 	// hasPrimary is set while the primary is known and takes writes. It implies historyComplete.
 	hasPrimary bool
 
@@ -157,6 +167,7 @@
 	l.done = make(chan struct{})
 	l.members = map[string]*member{}
 	l.superseded = map[string]uint64{}
+	l.committed = map[string]egret.KnownMember{}
 	l.connections = defaultConnections
 }
 
@@ -226,6 +237,7 @@
 // the lane.
 func (l *Lane) Run(ctx context.Context) error {
 	defer l.Close()
+	l.loadCommitted()
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	for {
@@ -239,6 +251,7 @@
 		}
 		l.maintainMembers()
 		if l.Lease.Valid() {
+			l.recordCommitted(ctx)
 			l.maintainPrimary(ctx)
 		}
 	}
@@ -285,6 +298,7 @@
 			l.sortViews()
 		}
 	}
+	l.updateCommitted()
 	l.checkSlowStatements(now)
 	l.dispatch()
 }
--- a/lease/intent_test.go
+++ b/lease/intent_test.go
@@ -189,3 +189,28 @@
 		t.Error("a process that has read nothing claims to remember")
 	}
 }
+
+// TestMembersOutlastTheHolder guards against a holder that doesn't know which members may have acknowledged commits.
+func TestMembersOutlastTheHolder(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 3)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	members := []egret.KnownMember{{
+		ID:        "m1",
+		StartTime: time.UnixMilli(1500),
+		Address:   nodeAddress(9),
+		Draining:  true,
+	}}
+	if err := holder.SetMembers(t.Context(), members); err != nil {
+		t.Fatal(err)
+	}
+	if err := holder.SetPrimary(t.Context(), "m1"); err != nil {
+		t.Fatal(err)
+	}
+	next := cl.successorOf(t, holder)
+	if got := next.Members(); len(got) != 1 || got[0].ID != "m1" || !got[0].StartTime.Equal(time.UnixMilli(1500)) ||
+		got[0].Address != nodeAddress(9) || !got[0].Draining {
+		t.Errorf("the successor knows the members %+v", got)
+	}
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -36,6 +36,9 @@
 	// intents of a former holder are lost.
 	PrimaryUncertain bool `json:"primary-uncertain,omitempty"`
 
+	// Members are the members that may have acknowledged commits, if the service has synchronous replicas, sorted by ID.
+	Members []egret.KnownMember `json:"members,omitempty"`
+
 	// Voters are the processes whose promises can extend the lease while the store doesn't respond to the
 	// holder, sorted by node.
 	Voters []Voter `json:"voters"`
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -174,6 +174,37 @@
 	return nil
 }
 
+// Members returns the members in the record that may have acknowledged commits.
+func (l *Lease) Members() []egret.KnownMember {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latest.Record.Members
+}
+
+// SetMembers writes the members that may have acknowledged commits to the record.
+func (l *Lease) SetMembers(ctx context.Context, members []egret.KnownMember) error {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	l.mu.Lock()
+	revision, record := l.heldRevision, l.ownRecord()
+	l.mu.Unlock()
+	if !revision.Exists() {
+		return egret.ErrLeaseExpired
+	}
+	record.Members = members
+	written, err := l.writeRecord(ctx, revision, record)
+	if err != nil {
+		// The next read shows whether the store has executed the write.
+		return errors.Annotatef(err, "members of %s", l.Service)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heldRevision == revision {
+		l.setHeld(written, record)
+	}
+	return nil
+}
+
 // ownRecord returns a record that names this process as the holder. The caller holds mu.
 func (l *Lease) ownRecord() Record {
 	r := Record{
@@ -182,6 +213,7 @@
 		Address:      l.Self.Address,
 		Primary:      l.latest.Record.Primary,
 		PrimaryOrder: l.latest.Record.PrimaryOrder,
+		Members:      l.latest.Record.Members,
 		Voters:       l.latest.Record.Voters,
 	}
 	r.PrimaryUncertain = l.primaryUncertain()
