platform: odd entries of members are refused, and hide no others

What other operators saw: processes that read the members' entries ended again and again, or stopped following them, because of one odd entry.

Cause, here: none ends. But numbers that a float holds and an integer doesn't were converted, with a result that depends on the processor, and accepted, as were port 0, control characters and texts of any length. One value that isn't base64 text, or events of over 4 MiB, made lists and watches fail again and again.

--- a/egretlane/mirror/mirror_test.go
+++ b/egretlane/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,6 +64,39 @@
 	}
 }
 
+// TestMemberIsBackAfterAnOddEntry guards against members that stay away: another writer overwrites a member's entry, and the
+// member writes a good one again. The others must stay as they are.
+func TestMemberIsBackAfterAnOddEntry(t *testing.T) {
+	c := newMirror(nil)
+	changes := 0
+	c.OnMembersChanged = func(string, []egret.Backend) { changes++ }
+	entry := func(sequence int) []byte {
+		return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","capacity":2,"state":"ready","db_role":"primary","zone":"z","born":1000,"sequence":%d}`, sequence)
+	}
+	c.resetMembers([]egret.Item{
+		{Key: "servers/a", Data: entry(1), Revision: egret.Revision{Number: 1}},
+		{Key: "servers/b", Data: entry(1), Revision: egret.Revision{Number: 2}},
+	})
+	odd := [][]byte{
+		[]byte(strings.Repeat("[", 100_000)),
+		[]byte(`{"service":"s","address":"10.0.0.1:99999","capacity":2,"state":"ready","db_role":"primary"}`),
+		[]byte(`{"service":"s","address":"10.0.0.1:80","capacity":1e300,"state":"ready","db_role":"primary"}`),
+		[]byte(`{"service":"s","address":"10.0.0.1:80","capacity":2,"state":"ready","db_role":"primary","born":1000,"sequence":1e300}`),
+	}
+	number := uint64(3)
+	for i, data := range odd {
+		c.changeMember(egret.Item{Key: "servers/a", Data: data, Revision: egret.Revision{Number: number}})
+		if members := c.MembersOf("s"); len(members) != 1 || members[0].ID != "b" {
+			t.Errorf("entry %d: members %v, want only b", i, members)
+		}
+		c.changeMember(egret.Item{Key: "servers/a", Data: entry(2 + i), Revision: egret.Revision{Number: number + 1}})
+		if members := c.MembersOf("s"); len(members) != 2 {
+			t.Errorf("after entry %d: members %v, want a and b", i, members)
+		}
+		number += 2
+	}
+}
+
 // TestRestoredStoreTakesNoMemberBack guards against members that have left, or are leaving, and get requests again because a
 // restored store has an entry that they wrote before.
 func TestRestoredStoreTakesNoMemberBack(t *testing.T) {
