group: a promotion without an answer is repeated for the same member

Cause: a failover call without an answer may still be carried out. After promotionTimeout the lane chose anew among the replicas, in the order of a map, and called for another one. A next holder did the same at once.

Change: promotionCandidate keeps to the recorded member, which is written before each call, while it is a replica that can be promoted and has the acknowledged commits. Reports are sorted by ID.

Why it works: a second call for the same member has no effect beside the first one but to repeat it; the platform ignores it once it leads.

--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -20,6 +20,10 @@
 	members  map[string]*fakeMember
 	promoted []string
 	tokens   []uint64
+
+	// promoteDelay is how long after a call a promotion takes effect. If promoteUnanswered is set, the call gets no answer.
+	promoteDelay      time.Duration
+	promoteUnanswered bool
 }
 
 // fakeMember is an in-memory member. Its log is the position of its last commit.
@@ -152,13 +156,32 @@
 	if m.down {
 		return errors.Trace(egret.ErrRefused)
 	}
+	if s.promoteDelay == 0 {
+		m.lead()
+	} else {
+		time.AfterFunc(s.promoteDelay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			m.lead()
+		})
+	}
+	if s.promoteUnanswered {
+		return errDown
+	}
+	return nil
+}
+
+// lead makes the member the primary of the next term, unless it leads the latest one. The caller holds the service's mu.
+func (m *fakeMember) lead() {
 	term := uint64(0)
-	for _, o := range s.members {
+	for _, o := range m.service.members {
 		term = max(term, o.term)
 	}
+	if m.role == egret.RolePrimary && m.term == term {
+		return
+	}
 	m.role = egret.RolePrimary
 	m.term = term + 1
-	return nil
 }
 
 // fakeBackendConn is a connection to a fakeMember.
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -262,6 +263,43 @@
 	}
 }
 
+// TestUnansweredPromotionIsRepeated guards against two primaries: the platform carries out a call late, after the lane has called
+// for another replica. A next holder, which knows the call from the record, must keep to the member too.
+func TestUnansweredPromotionIsRepeated(t *testing.T) {
+	for _, next := range []bool{false, true} {
+		t.Run(fmt.Sprint("next holder ", next), func(t *testing.T) {
+			t.Parallel()
+			s := newFakeService()
+			s.promoteDelay, s.promoteUnanswered = promotionTimeout+500*time.Millisecond, true
+			l, h := startLane(t, s)
+			l.SetMembers(s.backends())
+			awaitPrimary(t, l)
+			s.member("a", func(m *fakeMember) { m.down = true })
+			l.Stream().Do(context.Background(), write("1"))
+			eventually(t, "promotion call", func() bool { return len(s.promotions()) > 0 })
+			first := s.promotions()[0]
+			// The other replica is ahead now.
+			s.member(map[string]string{"b": "c", "c": "b"}[first], func(m *fakeMember) { m.position.Offset += 5 })
+			if next {
+				l.Close()
+				l2, h2 := newLane(s)
+				h2.primary = h.Primary()
+				runLane(t, l2)
+				l2.SetMembers(s.backends())
+				l = l2
+			}
+			eventually(t, "second call", func() bool { return len(s.promotions()) > 1 })
+			if p := s.promotions(); p[1] != first {
+				t.Errorf("%q were called for", p)
+			}
+			awaitPrimary(t, l)
+			if a := l.Stream().Do(context.Background(), write("2")); a.Fault.Kind != egret.FaultNone || a.Member != first {
+				t.Errorf("write: %+v, want %s to answer", a, first)
+			}
+		})
+	}
+}
+
 // TestFoundPrimaryIsKept guards against a promotion too many: the primary answers again when the lane has already noted it as
 // unreachable, is adopted, and replaced at once.
 func TestFoundPrimaryIsKept(t *testing.T) {
--- a/group/primary.go
+++ b/group/primary.go
@@ -1,7 +1,9 @@
 package group
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -141,7 +143,7 @@
 	return waited > primarySearchTimeout
 }
 
-// askMembers requests the status of all members at once, each on a pooled connection.
+// askMembers requests the status of all members at once, each on a pooled connection. The reports are sorted by ID.
 func (l *Lane) askMembers(ctx context.Context) []statusReport {
 	l.mu.Lock()
 	members := []*member{}
@@ -149,6 +151,7 @@
 		members = append(members, m)
 	}
 	l.mu.Unlock()
+	slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(a.id, b.id) })
 	reports := make([]statusReport, len(members))
 	wg := sync.WaitGroup{}
 	for i, m := range members {
--- a/group/promote.go
+++ b/group/promote.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// recordedReplica returns the report of the member that is recorded as the primary, if it is a replica that can be promoted.
+func (l *Lane) recordedReplica(reports []statusReport) (statusReport, bool) {
+	recorded := l.Lease.Primary()
+	if recorded == "" || l.Lease.PrimaryUncertain() {
+		return statusReport{}, false
+	}
+	for _, r := range reports {
+		if r.id == recorded && r.err == nil && r.status.Role == egret.RoleReplica {
+			return l.mostAdvanced([]statusReport{r}, false)
+		}
+	}
+	return statusReport{}, false
+}
+
 // mostAdvanced returns the report of the replica with the newest log end, of those that are reachable, registered and
 // draining or not. It returns false if there is none.
 func (l *Lane) mostAdvanced(reports []statusReport, draining bool) (statusReport, bool) {
@@ -152,6 +166,10 @@
 
 // promotionCandidate returns the replica to promote, or false if none can be promoted now.
 func (l *Lane) promotionCandidate(reports []statusReport) (statusReport, bool) {
+	// The platform may still carry out a call for the recorded member. Another one would lead beside it then.
+	if recorded, found := l.recordedReplica(reports); found && l.hasCommits(recorded, reports) {
+		return recorded, true
+	}
 	best, found := l.mostAdvanced(reports, false)
 	if found && l.hasCommits(best, reports) {
 		return best, true
