caller: TestSessionLimit waits for the handshakes before its own

The test waited for two handshakes while that of the caller before could still be counted, so that one silent connection too few was there when the third one had to be refused. It waits for none first now.

--- a/caller/start_test.go
+++ b/caller/start_test.go
@@ -221,6 +221,10 @@
 		}
 		return err == nil
 	})
+	// The server may still count the handshake of the caller that has just connected.
+	waitFor(t, "the end of the handshakes before", func() bool {
+		return ts.handshakeCount() == 0
+	})
 	silent := []net.Conn{}
 	for range 2 {
 		n, _ := ts.dial()
