group: a primary that has drained for its time gets no new statements

Cause: without a replica to promote, findPrimary adopted the draining primary again, and dispatch sent to it whatever its age as a draining one.

Change: the setting member-drain has the deployment's drain_ms. After it, less half a second, the primary gets no new statements, and findPrimary doesn't adopt it; a switchover doesn't wait for a replica any longer.

Evidence: TestDrainedPrimaryGetsNothing fails on the commit before (a write served after 1.7 s with a limit of 1.5 s) and passes here.

--- a/config/config.go
+++ b/config/config.go
@@ -47,6 +47,9 @@
 	// ShutdownGrace is the maximum time from SIGTERM to the end of the process.
 	ShutdownGrace Duration `yaml:"shutdown-grace"`
 
+	// MemberDrain is how long after its report a draining member gets new statements. Zero sets no limit.
+	MemberDrain Duration `yaml:"member-drain"`
+
 	// Trace configures the export of spans.
 	Trace Trace `yaml:"trace"`
 
@@ -150,6 +153,7 @@
 		{key: "platform.store", check: checkAddress},
 		{key: "platform.promotion", check: checkAddress},
 		{key: "shutdown-grace", check: new(Duration).UnmarshalYAML},
+		{key: "member-drain", check: new(Duration).UnmarshalYAML},
 	} {
 		mapping, i := findKey(document, strings.Split(s.key, "."))
 		if mapping == nil || mapping.Content[i+1].Kind != yaml.ScalarNode || mapping.Content[i+1].Tag == "!!null" {
@@ -212,6 +216,7 @@
 	check(s.Platform.Store.IsValid(), "platform.store", "must be set to an IP address and a port")
 	check(s.Platform.Promotion.IsValid(), "platform.promotion", "must be set to an IP address and a port")
 	check(s.ShutdownGrace > 0, "shutdown-grace", "must be greater than 0, got %v", time.Duration(s.ShutdownGrace))
+	check(s.MemberDrain >= 0, "member-drain", "must not be negative, got %v", time.Duration(s.MemberDrain))
 	check(s.Limits.MemoryMB >= 0, "limits.memory-mb", "must not be negative, got %d", s.Limits.MemoryMB)
 	check(s.Limits.ProcessorShare >= 0, "limits.processor-share", "must not be negative, got %v", s.Limits.ProcessorShare)
 	check(s.Limits.ProcessorSpeed >= 0, "limits.processor-speed", "must not be negative, got %v", s.Limits.ProcessorSpeed)
--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -32,6 +32,10 @@
 	// bindRetryInterval is the delay between two attempts to bind.
 	bindRetryInterval = 50 * time.Millisecond
 
+	// drainMargin is the part of a member's drain time that is left for its report to arrive, and for statements that were
+	// given a slot to be sent.
+	drainMargin = 500 * time.Millisecond
+
 	// reservedDescriptors is the number of file descriptors that are not available to callers: they are reserved for
 	// files and for connections to members, other proxies and the store.
 	reservedDescriptors = 700
@@ -264,6 +268,9 @@
 		EventLog: n.eventLog,
 		Metrics:  n.metrics,
 	}
+	if limit := time.Duration(n.settings.MemberDrain); limit > 0 {
+		l.DrainLimit = max(limit-drainMargin, drainMargin)
+	}
 	l.Init()
 	if p := n.mirror.Tables().Pool(c.Service); p != nil {
 		l.Configure(p)
--- a/group/commits_test.go
+++ b/group/commits_test.go
@@ -201,3 +201,40 @@
 		}
 	}
 }
+
+// TestDrainedPrimaryGetsNothing guards against statements at a primary that drains for longer than its members allow, while no
+// replica can be promoted. Until then it serves, and a replica that is back is promoted.
+func TestDrainedPrimaryGetsNothing(t *testing.T) {
+	s := newFakeService()
+	l, _ := newLane(s)
+	l.DrainLimit = 1500 * time.Millisecond
+	runLane(t, l)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	s.change(l, "bc", func(m *fakeMember) { m.down = true })
+	s.change(l, "a", func(m *fakeMember) { m.draining = true })
+	began := time.Now()
+	served := 0
+	for time.Since(began) < 4*time.Second {
+		w := write("1")
+		w.Timeout = 100 * time.Millisecond
+		a := l.Stream().Do(context.Background(), w)
+		if a.Fault.Kind != egret.FaultNone {
+			continue
+		}
+		served++
+		if elapsed := time.Since(began); elapsed > l.DrainLimit+w.Timeout+100*time.Millisecond {
+			t.Fatalf("%s served a write after %v", a.Member, elapsed)
+		}
+	}
+	if served == 0 {
+		t.Error("the draining primary served nothing")
+	}
+	s.change(l, "b", func(m *fakeMember) { m.down = false })
+	eventually(t, "promotion of the replica that is back", func() bool {
+		w := write("2")
+		w.Timeout = 300 * time.Millisecond
+		a := l.Stream().Do(context.Background(), w)
+		return a.Fault.Kind == egret.FaultNone && a.Member == "b"
+	})
+}
--- a/group/dispatch.go
+++ b/group/dispatch.go
@@ -64,11 +64,11 @@
 }
 
 // usable reports whether the member's role and registration allow new statements. The primary runs statements until
-// it is replaced, also while it drains or its registration is missing; replicas keep serving reads while there is no
-// primary. The caller holds mu.
+// it is replaced, also while it drains, up to DrainLimit, or its registration is missing; replicas keep serving reads while
+// there is no primary. The caller holds mu.
 func (l *Lane) usable(now clock.Time, m *member) bool {
 	if m.id == l.primary {
-		return l.hasPrimary
+		return l.hasPrimary && !l.drained(now, m)
 	}
 	if m.missingSince != 0 && now.Sub(m.missingSince) > missingMemberTimeout {
 		return false
@@ -77,6 +77,11 @@
 	return !m.backend.Draining && !superseded
 }
 
+// drained reports whether the member has drained for so long that it gets no new statements. The caller holds mu.
+func (l *Lane) drained(now clock.Time, m *member) bool {
+	return l.DrainLimit > 0 && m.drainingSince != 0 && now.Sub(m.drainingSince) > l.DrainLimit
+}
+
 // acquireSlot queues the statement and waits for a slot of a member. It returns a fault if the statement is refused or
 // gets none before its deadline.
 func (l *Lane) acquireSlot(ctx context.Context, it *sched.Item) (*member, egret.Fault) {
--- a/group/lane.go
+++ b/group/lane.go
@@ -69,6 +69,9 @@
 	// Metrics receives measurements. It may be nil.
 	Metrics Metrics
 
+	// DrainLimit is how long a draining member gets new statements after its report was seen. Zero sets no limit.
+	DrainLimit time.Duration
+
 	// wakeup makes Run check the primary without waiting for maintenanceInterval.
 	wakeup chan struct{}
 
@@ -138,6 +141,9 @@
 	// missingSince is when the member's registration was removed. It is zero while the member is registered.
 	missingSince clock.Time
 
+	// drainingSince is when it was seen first that the member drains, or zero.
+	drainingSince clock.Time
+
 	// unreachable is set while checks of the member fail, failedChecks counts the consecutive failures.
 	unreachable  bool
 	failedChecks int
@@ -228,6 +234,12 @@
 		m.unreachable = false
 		m.unansweredSince = 0
 	}
+	switch {
+	case !b.Draining:
+		m.drainingSince = 0
+	case m.drainingSince == 0:
+		m.drainingSince = clock.Now()
+	}
 	m.backend = b
 	m.missingSince = 0
 	m.view.Slots = b.Slots
--- a/group/primary.go
+++ b/group/primary.go
@@ -70,7 +70,7 @@
 		}
 		reports := l.askMembers(ctx)
 		found, ok := reportedPrimary(reports, recorded)
-		ok = ok && !superseded(reports, found, uncertain)
+		ok = ok && !superseded(reports, found, uncertain) && !l.hasDrained(found.member)
 		if ok && found.id != recorded && (uncertain || recorded != "") && !l.recordFound(ctx, reports, found) {
 			l.sleep(ctx, maintenanceInterval/2)
 			continue
@@ -114,6 +114,13 @@
 	return false
 }
 
+// hasDrained is drained for callers that don't hold mu.
+func (l *Lane) hasDrained(m *member) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.drained(clock.Now(), m)
+}
+
 // recordFound records the primary that was found although another one may be recorded, and has other members that report
 // themselves primary demoted. It reports whether the primary could be recorded.
 func (l *Lane) recordFound(ctx context.Context, reports []statusReport, found statusReport) bool {
--- a/group/promote.go
+++ b/group/promote.go
@@ -38,7 +38,7 @@
 // transactions end and the replica receives the last commit before it is promoted.
 func (l *Lane) switchOver(ctx context.Context) {
 	began := clock.Now()
-	for clock.Since(began) < switchoverLagTimeout && ctx.Err() == nil && l.Lease.Valid() {
+	for clock.Since(began) < switchoverLagTimeout && ctx.Err() == nil && l.Lease.Valid() && !l.primaryDrained() {
 		candidate, found := l.mostAdvanced(l.askMembers(ctx), false)
 		if found && l.commitsBehind(candidate) <= maxSwitchoverLagCommits {
 			break
@@ -57,6 +57,14 @@
 	l.replacePrimary(ctx, "the primary is draining or no longer registered")
 }
 
+// primaryDrained reports whether the primary gets no new statements any more, as it drains.
+func (l *Lane) primaryDrained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.members[l.primary]
+	return m != nil && l.drained(clock.Now(), m)
+}
+
 // commitsBehind returns how many acknowledged commits the reporting member lacks. If its log ends in an earlier term,
 // the result is the offset of the newest commit.
 func (l *Lane) commitsBehind(r statusReport) uint64 {
