lease: voters that were restarted learn the last primary again

Change: each request for promises has the primary that isn't written yet.

Evidence: TestRestartedVotersLearnThePrimaryAgain fails without the change and passes with it.

--- a/lease/intent_test.go
+++ b/lease/intent_test.go
@@ -106,6 +106,36 @@
 	}
 }
 
+// TestRestartedVotersLearnThePrimaryAgain guards against voters that are restarted one after the other while the store doesn't
+// respond to the holder, until none remembers the primary that only they were told.
+func TestRestartedVotersLearnThePrimaryAgain(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	cl.start(t, 5)
+	holder := cl.awaitHolder(t, "holder", 5*time.Second, func(*Lease) bool { return true })
+	time.Sleep(minVoterChangeInterval)
+	cl.update(func() { cl.storeCuts[holder.Self.Node] = true })
+	if err := holder.SetPrimary(t.Context(), "m2"); err != nil {
+		t.Fatal(err)
+	}
+	voter := 0
+	if cl.leases[voter] == holder {
+		voter = 1
+	}
+	cl.restart(t, voter)
+	knows := func() bool {
+		l := cl.running()[voter]
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.voter.intent.Primary == "m2"
+	}
+	for deadline := time.Now().Add(3 * time.Second); !knows(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the voter that was restarted doesn't learn the primary")
+		}
+	}
+}
+
 // TestPrimaryStaysCertainWithoutItsHolder guards against promotions without need: a process that ends doesn't make the primary
 // uncertain while the others remember what they were told.
 func TestPrimaryStaysCertainWithoutItsHolder(t *testing.T) {
--- a/lease/promise.go
+++ b/lease/promise.go
@@ -141,11 +141,13 @@
 	l.mu.Lock()
 	revision, limit := l.heldRevision, l.renewedAt.Add(maxExtension)
 	valid := sent < l.validUntil
+	// A voter that was restarted has forgotten it.
+	intent := l.unwrittenIntent
 	l.mu.Unlock()
 	if !revision.Exists() || !valid || sent.Add(PromiseDuration) > limit {
 		return
 	}
-	promised := l.requestPromises(ctx, revision, Intent{})
+	promised := l.requestPromises(ctx, revision, intent)
 	l.EventLog.Event("promises-asked").Str("service", l.Service).Str("revision", revision.String()).Bool("majority", promised).Dur("left", l.Remaining()).Msg("asked the voters for promises to extend the lease")
 	if !promised {
 		return
