--- a/config/config_test.go
+++ b/config/config_test.go
@@ -20,6 +20,7 @@
   promotion: "10.0.1.2:1"
 limits: {memory-mb: 284, descriptors: 4200}
 shutdown-grace: 6s
+member-drain: 7000ms
 something-new: 1
 `
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Node != "front-1" || s.Listen.Peers.Port() != 3 || time.Duration(s.ShutdownGrace) != 6*time.Second || s.Limits.Descriptors != 4200 {
+	if s.Node != "front-1" || s.Listen.Peers.Port() != 3 || time.Duration(s.ShutdownGrace) != 6*time.Second || time.Duration(s.MemberDrain) != 7*time.Second || s.Limits.Descriptors != 4200 {
 		t.Errorf("%+v", s)
 	}
 }
