group: a draining replica is promoted only where commits may need it

A fault of, found by reading: the choice of a draining replica, when no other can be promoted, was open to services without synchronous replicas too, and to replicas that had drained for their time. Such a replica leads for a moment and gets nothing, while another one is back soon.

Change: needsDraining asks for synchronous replicas and a silent primary; a drained replica is left out.

Evidence: TestDrainingReplicaIsNotPromotedWithoutNeed fails on the commit before (b is promoted after 0.1 s) and passes here.

--- a/group/commits.go
+++ b/group/commits.go
@@ -73,18 +73,6 @@
 	}
 }
 
-// primaryReports reports whether the primary is among the members that answer.
-func (l *Lane) primaryReports(reports []statusReport) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, r := range reports {
-		if r.err == nil && r.id == l.primary {
-			return true
-		}
-	}
-	return false
-}
-
 // loadCommitted sets committed to what the former holder has recorded.
 func (l *Lane) loadCommitted() {
 	members := l.Lease.Members()
--- a/group/commits_test.go
+++ b/group/commits_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// TestDrainingReplicaIsNotPromotedWithoutNeed guards against a primary that is about to leave, where no commit depends on it: a
+// replica that is back a moment later leads.
+func TestDrainingReplicaIsNotPromotedWithoutNeed(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	s.change(l, "b", func(m *fakeMember) { m.draining = true })
+	s.change(l, "ac", func(m *fakeMember) { m.down = true })
+	// It shows that the primary is lost.
+	w := write("1")
+	w.Timeout = 300 * time.Millisecond
+	l.Stream().Do(context.Background(), w)
+	neverPromoted(t, s, "b", primarySearchTimeout+time.Second)
+	s.change(l, "c", func(m *fakeMember) { m.down = false })
+	eventually(t, "promotion of the replica that is back", func() bool { return slices.Contains(s.promotions(), "c") })
+}
+
 // TestDrainedPrimaryGetsNothing guards against statements at a primary that drains for longer than its members allow, while no
 // replica can be promoted. Until then it serves, and a replica that is back is promoted.
 func TestDrainedPrimaryGetsNothing(t *testing.T) {
--- a/group/promote.go
+++ b/group/promote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -182,13 +183,23 @@
 	if found && l.hasCommits(best, reports) {
 		return best, true
 	}
-	// A draining replica can lead until another one has caught up with it.
-	if best, found = l.mostAdvanced(reports, true); found && !l.primaryReports(reports) && l.hasCommits(best, reports) {
-		return best, true
+	if l.needsDraining(reports) {
+		best, found = l.mostAdvanced(reports, true)
+		if found && !l.hasDrained(best.member) && l.hasCommits(best, reports) {
+			return best, true
+		}
 	}
 	return statusReport{}, false
 }
 
+// needsDraining reports whether a draining replica may be promoted, to lead until another one has caught up with it: it may be
+// the only one that has every acknowledged commit.
+func (l *Lane) needsDraining(reports []statusReport) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.syncReplicas > 0 && !slices.ContainsFunc(reports, func(r statusReport) bool { return r.err == nil && r.id == l.primary })
+}
+
 // reconsiderPrimary lets the old primary be adopted or promoted again, after no replica could be promoted. It does
 // nothing if the old primary is unreachable or draining.
 func (l *Lane) reconsiderPrimary(old string) {
