--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -294,6 +294,24 @@
 	return lanes
 }
 
+// Lane returns the lane of a service that this process holds, or nil.
+func (f *Fleet) Lane(service string) *group.Lane {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lanes[service]
+}
+
+// AcquiredLeases returns the leases that this process has acquired, valid or not.
+func (f *Fleet) AcquiredLeases() []*lease.Lease {
+	acquired := []*lease.Lease{}
+	for _, l := range f.allLeases() {
+		if l.Acquired() {
+			acquired = append(acquired, l)
+		}
+	}
+	return acquired
+}
+
 // Lease returns this process's Lease of a service, or nil if the service isn't configured.
 func (f *Fleet) Lease(service string) *lease.Lease {
 	f.mu.Lock()
@@ -452,8 +470,8 @@
 	return l != nil && l.GrantPromise(q)
 }
 
-// Fence refuses further promises to holders of a service whose records are older than the revision.
-func (f *Fleet) Fence(service string, revision egret.Revision) lease.FenceReply {
+// Fence refuses further promises to former holders of a service, and returns what this process knows of them.
+func (f *Fleet) Fence(service string, q lease.Fence) lease.FenceReply {
 	l := f.Lease(service)
 	if l == nil {
 		// Without the service's configuration, this process has given no promise since it started. A
@@ -462,5 +480,5 @@
 			Remaining: lease.PromiseDuration,
 		}
 	}
-	return l.Fence(revision)
+	return l.Fence(q)
 }
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -20,6 +20,10 @@
 	members  map[string]*fakeMember
 	promoted []string
 	tokens   []uint64
+
+	// promoteDelay is how long after a call a promotion takes effect. If promoteUnanswered is set, the call gets no answer.
+	promoteDelay      time.Duration
+	promoteUnanswered bool
 }
 
 // fakeMember is an in-memory member. Its log is the position of its last commit.
@@ -37,6 +41,9 @@
 	// replicationPaused stops a replica from receiving commits.
 	replicationPaused bool
 
+	// draining says that the registration reports that the member will shut down, unregistered that there is none.
+	draining, unregistered bool
+
 	// unresponsive makes a member accept connections and answer nothing.
 	unresponsive bool
 
@@ -84,11 +91,15 @@
 	out := []egret.Backend{}
 	for _, id := range []string{"a", "b", "c"} {
 		m := s.members[id]
+		if m.unregistered {
+			continue
+		}
 		out = append(out, egret.Backend{
-			ID:      id,
-			Service: "s",
-			Slots:   2,
-			Role:    m.role,
+			ID:       id,
+			Service:  "s",
+			Slots:    2,
+			Role:     m.role,
+			Draining: m.draining,
 		})
 	}
 	return out
@@ -145,13 +156,32 @@
 	if m.down {
 		return errors.Trace(egret.ErrRefused)
 	}
+	if s.promoteDelay == 0 {
+		m.lead()
+	} else {
+		time.AfterFunc(s.promoteDelay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			m.lead()
+		})
+	}
+	if s.promoteUnanswered {
+		return errDown
+	}
+	return nil
+}
+
+// lead makes the member the primary of the next term, unless it leads the latest one. The caller holds the service's mu.
+func (m *fakeMember) lead() {
 	term := uint64(0)
-	for _, o := range s.members {
+	for _, o := range m.service.members {
 		term = max(term, o.term)
 	}
+	if m.role == egret.RolePrimary && m.term == term {
+		return
+	}
 	m.role = egret.RolePrimary
 	m.term = term + 1
-	return nil
 }
 
 // fakeBackendConn is a connection to a fakeMember.
@@ -306,6 +336,8 @@
 	invalid bool
 	primary string
 
+	members []egret.KnownMember
+
 	// uncertain says that the store was restored since the primary was recorded.
 	uncertain bool
 }
@@ -339,15 +371,27 @@
 	return nil
 }
 
+func (h *fakeLease) Members() []egret.KnownMember {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.members
+}
+
+func (h *fakeLease) SetMembers(_ context.Context, members []egret.KnownMember) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members = members
+	return nil
+}
+
 func (h *fakeLease) setInvalid(invalid bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.invalid = invalid
 }
 
-// startLane runs a lane over the service until the test ends.
-func startLane(t *testing.T, s *fakeService) (*Lane, *fakeLease) {
-	t.Helper()
+// newLane returns a lane over the service.
+func newLane(s *fakeService) (*Lane, *fakeLease) {
 	h := &fakeLease{}
 	l := &Lane{
 		Service:  "s",
@@ -356,13 +400,26 @@
 		Lease:    h,
 	}
 	l.Init()
+	return l, h
+}
+
+// runLane runs the lane until the test ends.
+func runLane(t *testing.T, l *Lane) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = l.Run(ctx) }()
+}
+
+// startLane runs a lane over the service until the test ends.
+func startLane(t *testing.T, s *fakeService) (*Lane, *fakeLease) {
+	t.Helper()
+	l, h := newLane(s)
 	l.Configure(&egret.Pool{
 		Name:        "s",
 		Connections: 16,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = l.Run(ctx) }()
+	runLane(t, l)
 	return l, h
 }
 
--- a/group/lane.go
+++ b/group/lane.go
@@ -24,6 +24,9 @@
 	// expired in an outage of the store is back within about two seconds after the outage.
 	missingMemberTimeout = 2500 * time.Millisecond
 
+	// recordRetryInterval is the least time between two attempts to record the members of a service.
+	recordRetryInterval = 500 * time.Millisecond
+
 	// maintenanceInterval is the interval between checks of the members and the primary without an event that
 	// triggers one.
 	maintenanceInterval = 100 * time.Millisecond
@@ -66,6 +69,9 @@
 	// Metrics receives measurements. It may be nil.
 	Metrics Metrics
 
+	// DrainLimit is how long a draining member gets new statements after its report was seen. Zero sets no limit.
+	DrainLimit time.Duration
+
 	// wakeup makes Run check the primary without waiting for maintenanceInterval.
 	wakeup chan struct{}
 
@@ -88,6 +94,13 @@
 	// historyComplete is set once history covers every acknowledged commit, so that floors computed from it are safe.
 	historyComplete bool
 
+	// committed has the members that may have acknowledged commits, by ID: those of the group while its primary was last
+	// known.
+	committed map[string]egret.KnownMember
+
+	// committedTried is when the record of committed was last written, or tried to. Only Run uses it.
+	committedTried time.Time
+
 	// hasPrimary is set while the primary is known and takes writes. It implies historyComplete.
 	hasPrimary bool
 
@@ -128,6 +141,9 @@
 	// missingSince is when the member's registration was removed. It is zero while the member is registered.
 	missingSince clock.Time
 
+	// drainingSince is when it was seen first that the member drains, or zero.
+	drainingSince clock.Time
+
 	// unreachable is set while checks of the member fail, failedChecks counts the consecutive failures.
 	unreachable  bool
 	failedChecks int
@@ -157,6 +173,7 @@
 	l.done = make(chan struct{})
 	l.members = map[string]*member{}
 	l.superseded = map[string]uint64{}
+	l.committed = map[string]egret.KnownMember{}
 	l.connections = defaultConnections
 }
 
@@ -217,6 +234,12 @@
 		m.unreachable = false
 		m.unansweredSince = 0
 	}
+	switch {
+	case !b.Draining:
+		m.drainingSince = 0
+	case m.drainingSince == 0:
+		m.drainingSince = clock.Now()
+	}
 	m.backend = b
 	m.missingSince = 0
 	m.view.Slots = b.Slots
@@ -226,6 +249,7 @@
 // the lane.
 func (l *Lane) Run(ctx context.Context) error {
 	defer l.Close()
+	l.loadCommitted()
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	for {
@@ -239,6 +263,7 @@
 		}
 		l.maintainMembers()
 		if l.Lease.Valid() {
+			l.recordCommitted(ctx)
 			l.maintainPrimary(ctx)
 		}
 	}
@@ -285,6 +310,7 @@
 			l.sortViews()
 		}
 	}
+	l.updateCommitted()
 	l.checkSlowStatements(now)
 	l.dispatch()
 }
--- a/group/promote.go
+++ b/group/promote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,8 +39,8 @@
 // transactions end and the replica receives the last commit before it is promoted.
 func (l *Lane) switchOver(ctx context.Context) {
 	began := clock.Now()
-	for clock.Since(began) < switchoverLagTimeout && ctx.Err() == nil && l.Lease.Valid() {
-		candidate, found := l.mostAdvanced(l.askMembers(ctx))
+	for clock.Since(began) < switchoverLagTimeout && ctx.Err() == nil && l.Lease.Valid() && !l.primaryDrained() {
+		candidate, found := l.mostAdvanced(l.askMembers(ctx), false)
 		if found && l.commitsBehind(candidate) <= maxSwitchoverLagCommits {
 			break
 		}
@@ -57,6 +58,14 @@
 	l.replacePrimary(ctx, "the primary is draining or no longer registered")
 }
 
+// primaryDrained reports whether the primary gets no new statements any more, as it drains.
+func (l *Lane) primaryDrained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.members[l.primary]
+	return m != nil && l.drained(clock.Now(), m)
+}
+
 // commitsBehind returns how many acknowledged commits the reporting member lacks. If its log ends in an earlier term,
 // the result is the offset of the newest commit.
 func (l *Lane) commitsBehind(r statusReport) uint64 {
@@ -91,7 +100,7 @@
 func (l *Lane) awaitCaughtUp(ctx context.Context) {
 	began := clock.Now()
 	for clock.Since(began) < catchUpTimeout && ctx.Err() == nil {
-		candidate, found := l.mostAdvanced(l.askMembers(ctx))
+		candidate, found := l.mostAdvanced(l.askMembers(ctx), false)
 		if found && l.commitsBehind(candidate) == 0 {
 			return
 		}
@@ -99,15 +108,29 @@
 	}
 }
 
+// recordedReplica returns the report of the member that is recorded as the primary, if it is a replica that can be promoted.
+func (l *Lane) recordedReplica(reports []statusReport) (statusReport, bool) {
+	recorded := l.Lease.Primary()
+	if recorded == "" || l.Lease.PrimaryUncertain() {
+		return statusReport{}, false
+	}
+	for _, r := range reports {
+		if r.id == recorded && r.err == nil && r.status.Role == egret.RoleReplica {
+			return l.mostAdvanced([]statusReport{r}, false)
+		}
+	}
+	return statusReport{}, false
+}
+
 // mostAdvanced returns the report of the replica with the newest log end, of those that are reachable, registered and
-// not draining. It returns false if there is none.
-func (l *Lane) mostAdvanced(reports []statusReport) (statusReport, bool) {
+// draining or not. It returns false if there is none.
+func (l *Lane) mostAdvanced(reports []statusReport, draining bool) (statusReport, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best, found := statusReport{}, false
 	for _, r := range reports {
 		m := r.member
-		if r.err != nil || m.unreachable || r.id == l.primary || m.backend.Draining || m.missingSince != 0 {
+		if r.err != nil || m.unreachable || r.id == l.primary || m.backend.Draining != draining || m.missingSince != 0 {
 			continue
 		}
 		if !found || r.status.Received.Compare(best.status.Received) > 0 {
@@ -150,28 +173,31 @@
 	l.awaitPrimary(ctx, candidate, term, began, old)
 }
 
-// promotionCandidate returns the replica to promote, or false if none can be promoted now. With synchronous replicas,
-// one that lacks an acknowledged commit is only promoted if every member but the primary has reported its log's end, as
-// a member that did not report may have the commit.
+// promotionCandidate returns the replica to promote, or false if none can be promoted now.
 func (l *Lane) promotionCandidate(reports []statusReport) (statusReport, bool) {
-	best, found := l.mostAdvanced(reports)
-	if !found {
-		return best, false
+	// The platform may still carry out a call for the recorded member. Another one would lead beside it then.
+	if recorded, found := l.recordedReplica(reports); found && l.hasCommits(recorded, reports) {
+		return recorded, true
 	}
-	l.mu.Lock()
-	sync := l.syncReplicas > 0
-	reported := 0
-	for _, r := range reports {
-		if r.err == nil && r.id != l.primary {
-			reported++
-		}
+	best, found := l.mostAdvanced(reports, false)
+	if found && l.hasCommits(best, reports) {
+		return best, true
 	}
-	others := len(l.members) - 1
-	l.mu.Unlock()
-	if sync && l.commitsBehind(best) > 0 && reported < others {
-		return best, false
+	if l.needsDraining(reports) {
+		best, found = l.mostAdvanced(reports, true)
+		if found && !l.hasDrained(best.member) && l.hasCommits(best, reports) {
+			return best, true
+		}
 	}
-	return best, true
+	return statusReport{}, false
+}
+
+// needsDraining reports whether a draining replica may be promoted, to lead until another one has caught up with it: it may be
+// the only one that has every acknowledged commit.
+func (l *Lane) needsDraining(reports []statusReport) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.syncReplicas > 0 && !slices.ContainsFunc(reports, func(r statusReport) bool { return r.err == nil && r.id == l.primary })
 }
 
 // reconsiderPrimary lets the old primary be adopted or promoted again, after no replica could be promoted. It does
