--- a/group/commits.go
+++ b/group/commits.go
@@ -13,7 +13,8 @@
 // With synchronous replicas, an acknowledged commit is in the logs of the primary and of as many replicas as the operator
 // has set. A member is only promoted if its log has every acknowledged commit: otherwise the service waits for a member
 // that has them, until the operator gives up synchronous replicas. A holder knows which commits it acknowledged itself.
-// The commits of former holders are in at least one of any members whose number shows that too few others are left.
+// A commit of a former holder is on one member more than there are synchronous replicas. If no more members than these are
+// silent, one that answers has it.
 
 // hasCommits reports whether the log of the reporting member has every acknowledged commit, or need not.
 func (l *Lane) hasCommits(candidate statusReport, reports []statusReport) bool {
