front, evlog: a connection that ends without an answer names its statement

Three ends of a session left no line: an answer that can't be written, a statement that is read while its session is closed, and the end of the process. The last lines of a process were lost besides, as the writer was not flushed. Tests: TestUnansweredStatementsAreLogged, TestFlushWritesLastLines; the methods that they call are new, so neither compiles without the change.

--- a/egretlane/fleet_command.go
+++ b/egretlane/fleet_command.go
@@ -26,6 +26,9 @@
 // spanFlushTimeout bounds the export of the last spans when the process ends.
 const spanFlushTimeout = 500 * time.Millisecond
 
+// logFlushTimeout bounds the writing of the last log lines when the process ends.
+const logFlushTimeout = 100 * time.Millisecond
+
 // fleetCommand returns the subcommand that runs a proxy for database groups whose members register with the platform.
 func fleetCommand() *cli.Command {
 	path := ""
@@ -57,14 +60,17 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(s.Limits.MemoryMB << 20 / 100 * memoryLimitPercent)
 	}
+	writer := &evlog.Writer{
+		Out: os.Stdout,
+	}
+	// Without a flush the lines about the end of the process would be lost.
+	defer writer.Flush(logFlushTimeout)
 	eventLog := &evlog.Log{
 		Logger: &log.Logger{
 			Level:      log.InfoLevel,
 			TimeFormat: time.RFC3339Nano,
-			Writer: &evlog.Writer{
-				Out: os.Stdout,
-			},
-			Context: log.NewContext(nil).Str("node", s.Node).Value(),
+			Writer:     writer,
+			Context:    log.NewContext(nil).Str("node", s.Node).Value(),
 		},
 		Rate: s.LogRate,
 	}
--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -50,6 +50,7 @@
 	// answers.
 	closeListener(callers)
 	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
+	n.front.LogUnanswered()
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
 }
 
--- a/evlog/log.go
+++ b/evlog/log.go
@@ -128,11 +128,19 @@
 	// Out is the output.
 	Out io.Writer
 
-	lines   chan []byte
+	lines   chan writerLine
 	dropped atomic.Uint64
 	once    sync.Once
 }
 
+// writerLine is a line to write, or a request of Flush.
+type writerLine struct {
+	text []byte
+
+	// flushed is closed instead of writing a line. It is nil for lines.
+	flushed chan struct{}
+}
+
 // WriteEntry buffers the line of an entry. It implements log.Writer.
 func (w *Writer) WriteEntry(e *log.Entry) (int, error) {
 	return w.Write(e.Value())
@@ -140,18 +148,46 @@
 
 // Write buffers a copy of one line.
 func (w *Writer) Write(line []byte) (int, error) {
-	w.once.Do(func() {
-		w.lines = make(chan []byte, writerBufferLines)
-		go w.run()
-	})
+	w.start()
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- writerLine{
+		text: append([]byte(nil), line...),
+	}:
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+func (w *Writer) start() {
+	w.once.Do(func() {
+		w.lines = make(chan writerLine, writerBufferLines)
+		go w.run()
+	})
+}
+
+// Flush waits until all lines that were written before are passed to the output, or the timeout has passed. It reports
+// whether they were.
+func (w *Writer) Flush(timeout time.Duration) bool {
+	w.start()
+	flushed := make(chan struct{})
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case w.lines <- writerLine{
+		flushed: flushed,
+	}:
+	case <-timer.C:
+		return false
+	}
+	select {
+	case <-flushed:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // Dropped returns the number of lines that were dropped because the buffer was full or the output failed.
 func (w *Writer) Dropped() uint64 {
 	return w.dropped.Load()
@@ -160,7 +196,11 @@
 // run writes the buffered lines to the output. It never returns. Lines for which the output fails are lost.
 func (w *Writer) run() {
 	for line := range w.lines {
-		if _, err := w.Out.Write(line); err != nil {
+		if line.flushed != nil {
+			close(line.flushed)
+			continue
+		}
+		if _, err := w.Out.Write(line.text); err != nil {
 			w.dropped.Add(1)
 		}
 	}
--- a/evlog/log_test.go
+++ b/evlog/log_test.go
@@ -68,3 +68,37 @@
 		t.Errorf("%d lines dropped, want at least twice the size of the buffer", w.Dropped())
 	}
 }
+
+// slowWriter is an output that takes a while for each line.
+type slowWriter struct {
+	lines int
+}
+
+func (w *slowWriter) Write([]byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	w.lines++
+	return 0, nil
+}
+
+// TestFlushWritesLastLines guards against losing the last lines of a process, which say how it ended.
+func TestFlushWritesLastLines(t *testing.T) {
+	out := &slowWriter{}
+	w := Writer{Out: out}
+	for range 10 {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !w.Flush(5*time.Second) || out.lines != 10 {
+		t.Errorf("%d lines were written, want 10", out.lines)
+	}
+	blocked := make(blockedWriter)
+	defer close(blocked)
+	w = Writer{Out: blocked}
+	if _, err := w.Write([]byte("line\n")); err != nil {
+		t.Fatal(err)
+	}
+	if w.Flush(20 * time.Millisecond) {
+		t.Error("Flush reports success while the output is blocked")
+	}
+}
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -1,13 +1,18 @@
 package front
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
+	"egretlane.example/egret/evlog"
 )
 
 // TestDrainDoesNotForwardAfterClose delivers a statement at the moment at which Drain closes the idle session.
@@ -289,3 +294,39 @@
 		t.Error("the transaction was not rolled back")
 	}
 }
+
+// TestUnansweredStatementsAreLogged guards against connections that end without an answer and without a line that names the
+// statement.
+func TestUnansweredStatementsAreLogged(t *testing.T) {
+	out := &bytes.Buffer{}
+	stream := &fakeStream{
+		waits: true,
+	}
+	s := newTestServer(stream)
+	s.EventLog = &evlog.Log{
+		Logger: &log.Logger{
+			Writer: &log.IOWriter{
+				Writer: out,
+			},
+		},
+	}
+	c := newFakeConn("orders")
+	c.queries = make(chan egret.Query, 1)
+	ended := serveOne(t, s, c)
+	c.queries <- egret.Query{ID: "7f", Verb: egret.VerbRead, Text: "READ a"}
+	for len(stream.received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.LogUnanswered()
+	if text := out.String(); !strings.Contains(text, `"statement-unanswered","request":"7f"`) {
+		t.Errorf("the statement is not named: %s", text)
+	}
+	close(c.queries)
+	s.cancel()
+	<-ended
+	out.Reset()
+	s.LogUnanswered()
+	if out.Len() > 0 {
+		t.Errorf("logged after the answer: %s", out)
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -189,6 +189,15 @@
 	}
 }
 
+// LogUnanswered logs each statement that has no answer yet. It is called when the process ends in spite of them.
+func (s *Server) LogUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ss := range s.sessions {
+		ss.logUnanswered("the process ends", nil)
+	}
+}
+
 // serve runs one session from its startup to its end.
 func (s *Server) serve(ctx context.Context, c egret.CallerConn) {
 	defer c.Close()
--- a/front/session.go
+++ b/front/session.go
@@ -70,6 +70,15 @@
 
 	// idleSince is the clock.Time at which the session last became idle.
 	idleSince atomic.Int64
+
+	// outstanding is the statement that was read last if its answer is not written yet, else nil.
+	outstanding atomic.Pointer[outstandingStatement]
+}
+
+// outstandingStatement is a statement that has no answer yet.
+type outstandingStatement struct {
+	id     string
+	readAt clock.Time
 }
 
 // Phases of a session.
@@ -102,13 +111,20 @@
 			s.handleReadError(err)
 			return
 		}
+		s.outstanding.Store(&outstandingStatement{
+			id:     q.ID,
+			readAt: clock.Now(),
+		})
 		if !s.phase.CompareAndSwap(waiting, phaseBusy) {
+			s.logUnanswered("the session was closed while the statement was read", nil)
 			return
 		}
 		a := s.handle(ctx, &q)
 		if err := s.conn.WriteAnswer(a); err != nil {
+			s.logUnanswered("the answer could not be written", err)
 			return
 		}
+		s.outstanding.Store(nil)
 		s.status = a.Status
 		if q.Verb == egret.VerbRollback {
 			// The caller has its answer already. The member rolls back before the next statement is read.
@@ -117,6 +133,16 @@
 	}
 }
 
+// logUnanswered logs that the connection ends without an answer to the outstanding statement, if there is one.
+func (s *session) logUnanswered(cause string, err error) {
+	o := s.outstanding.Load()
+	if o == nil {
+		return
+	}
+	s.server.EventLog.Event("statement-unanswered").Str("request", o.id).Str("database", s.database).Str("cause", cause).
+		Dur("elapsed", clock.Since(o.readAt)).Err(err).Msg("the connection ends without an answer")
+}
+
 // handleReadError ends the session after the next statement could not be read.
 func (s *session) handleReadError(err error) {
 	if errors.Is(err, io.EOF) || s.server.draining.Load() {
