front, platform: a session ends itself, once no statement has arrived

Callers got EOF in place of an answer when a proxy stopped: the server closed the connection of a session that it took for idle, and a statement that had been read at that moment was dropped. How long a session is idle says nothing about a statement that lies in the socket while the process lacks processor time.

Cause: two goroutines decided on the end of a session. Now the server only asks for it, and the session's own goroutine ends it: the wait for a message is interrupted, reads once more what has arrived, and is taken back if it has read anything. The same holds for open transactions, whose error and a statement could cross in the process.

TestStatementReadAtDrainIsAnswered failed before (the caller gets EOF) and passes.

--- a/front/server.go
+++ b/front/server.go
@@ -76,9 +76,6 @@
 	// Metrics receives measurements. It may be nil.
 	Metrics Metrics
 
-	// draining is set once Drain has been called.
-	draining atomic.Bool
-
 	// endsAt is the clock.Time that EndAt was called with, or zero.
 	endsAt atomic.Int64
 
@@ -136,7 +133,6 @@
 // may be on its way, and would be lost. Running statements are never interrupted, and open transactions only shortly
 // before the time that EndAt was called with.
 func (s *Server) Drain(minIdle, timeout time.Duration) int {
-	s.draining.Store(true)
 	began := clock.Now()
 	for {
 		left := s.CloseIdle(minIdle, clock.Now())
@@ -150,42 +146,27 @@
 	}
 }
 
-// CloseIdle closes the sessions that have been idle for at least minIdle and were opened no later than
-// openedBefore. It returns how many sessions are registered, including the ones just closed. The callers of
-// closed sessions are expected to reconnect.
+// CloseIdle ends the sessions that have been idle for at least minIdle and were opened no later than
+// openedBefore. It returns how many sessions are registered, including the ones just ended. The callers of
+// ended sessions are expected to reconnect.
 func (s *Server) CloseIdle(minIdle time.Duration, openedBefore clock.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
 	for ss := range s.sessions {
-		if ss.openedAt > openedBefore {
-			continue
-		}
-		if now.Sub(clock.Time(ss.idleSince.Load())) >= minIdle && ss.phase.CompareAndSwap(phaseIdle, phaseClosed) {
-			ss.conn.Close()
+		if ss.openedAt <= openedBefore && now.Sub(clock.Time(ss.idleSince.Load())) >= minIdle {
+			ss.endIn(phaseIdle)
 		}
 	}
 	return len(s.sessions)
 }
 
-// closeTransactions closes the sessions that wait for a further statement of an open transaction, and tells their callers
-// that nothing of the transaction is kept.
+// closeTransactions ends the sessions that wait for a further statement of an open transaction.
 func (s *Server) closeTransactions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ss := range s.sessions {
-		if !ss.phase.CompareAndSwap(phaseInTransaction, phaseClosed) {
-			continue
-		}
-		s.EventLog.Event("transaction-ended").Str("database", ss.database).Msg("closed a session with an open transaction: the proxy ends")
-		go func() {
-			// Ignore the error: the caller may have disconnected already.
-			_ = ss.conn.Refuse(egret.Fault{
-				Kind: egret.FaultAborted,
-				Text: "the proxy ends; the transaction is rolled back",
-			})
-			ss.conn.Close()
-		}()
+		ss.endIn(phaseInTransaction)
 	}
 }
 
--- a/front/session.go
+++ b/front/session.go
@@ -27,8 +27,8 @@
 	successLogInterval = 64
 )
 
-// session is the session of one caller. All fields except phase and idleSince are used by its own goroutine
-// only, or don't change.
+// session is the session of one caller. All fields except phase, idleSince and outstanding are used by its own
+// goroutine only, or don't change.
 type session struct {
 	server   *Server
 	conn     egret.CallerConn
@@ -61,8 +61,8 @@
 	// successes counts the successful statements that were not late, to sample them for the log.
 	successes int
 
-	// phase determines who may close the session. It changes by compare-and-swap, so that a statement that
-	// arrives while the session is being closed is either executed completely or never sent to a member.
+	// phase says what the session does. The server may set phaseEnding while the session waits for a statement; the
+	// session itself ends then, unless it has read a statement meanwhile.
 	phase atomic.Int32
 
 	// openedAt is when the session was opened.
@@ -83,7 +83,7 @@
 
 // Phases of a session.
 const (
-	// phaseBusy: a statement is in progress. Only the session's own goroutine may end the session.
+	// phaseBusy: a statement is in progress.
 	phaseBusy int32 = iota
 
 	// phaseIdle: the session waits for the caller's next statement, with no transaction open.
@@ -92,10 +92,17 @@
 	// phaseInTransaction: the session waits for the caller's next statement, with a transaction open.
 	phaseInTransaction
 
-	// phaseClosed: the server closed the connection while the session waited for a statement.
-	phaseClosed
+	// phaseEnding: the server has asked the session to end instead of waiting any longer.
+	phaseEnding
 )
 
+// endIn makes the session end if it is in the phase, which is one of those that wait for a statement.
+func (s *session) endIn(phase int32) {
+	if s.phase.CompareAndSwap(phase, phaseEnding) {
+		s.conn.Interrupt()
+	}
+}
+
 // run serves statements until the caller or the proxy ends the session.
 func (s *session) run(ctx context.Context) {
 	s.status = egret.TxIdle
@@ -107,7 +114,15 @@
 		}
 		s.phase.Store(waiting)
 		q, err := s.conn.ReadQuery()
-		if err != nil {
+		ending := s.phase.Swap(phaseBusy) == phaseEnding
+		switch {
+		case errors.Is(err, egret.ErrInterrupted) && !ending:
+			// The server asked for the end of an earlier wait.
+			continue
+		case errors.Is(err, egret.ErrInterrupted):
+			s.end()
+			return
+		case err != nil:
 			s.handleReadError(err)
 			return
 		}
@@ -115,10 +130,6 @@
 			id:     q.ID,
 			readAt: clock.Now(),
 		})
-		if !s.phase.CompareAndSwap(waiting, phaseBusy) {
-			s.logUnanswered("the session was closed while the statement was read", nil)
-			return
-		}
 		a := s.handle(ctx, &q)
 		if err := s.conn.WriteAnswer(a); err != nil {
 			s.logUnanswered("the answer could not be written", err)
@@ -143,9 +154,23 @@
 		Dur("elapsed", clock.Since(o.readAt)).Err(err).Msg("the connection ends without an answer")
 }
 
+// end ends the session while no statement is outstanding. The caller of an open transaction is told that nothing of it is
+// kept.
+func (s *session) end() {
+	if s.status == egret.TxIdle {
+		return
+	}
+	s.server.EventLog.Event("transaction-ended").Str("database", s.database).Msg("ended a session with an open transaction: the proxy ends")
+	// Ignore the error: the caller may have disconnected already.
+	_ = s.conn.Refuse(egret.Fault{
+		Kind: egret.FaultAborted,
+		Text: "the proxy ends; the transaction is rolled back",
+	})
+}
+
 // handleReadError ends the session after the next statement could not be read.
 func (s *session) handleReadError(err error) {
-	if errors.Is(err, io.EOF) || s.server.draining.Load() {
+	if errors.Is(err, io.EOF) {
 		return
 	}
 	s.server.EventLog.Event("session-broken").Str("database", s.database).Err(err).Msg("session ended by a read error")
--- a/query.go
+++ b/query.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Verb is the operation of a statement.
@@ -270,7 +272,10 @@
 	Close()
 }
 
-// CallerConn is a caller's connection after decoding by a codec. Only Close may be called
+// ErrInterrupted reports that a read was interrupted by CallerConn.Interrupt.
+const ErrInterrupted = errors.ConstError("the wait for the caller was interrupted")
+
+// CallerConn is a caller's connection after decoding by a codec. Only Interrupt may be called
 // concurrently with the other methods.
 type CallerConn interface {
 	// ReadStartup reads the caller's startup message and returns the requested database.
@@ -286,9 +291,13 @@
 	// malformed statement has VerbInvalid, with the reason in its Argument.
 	ReadQuery() (Query, error)
 
+	// Interrupt makes a read that waits for the caller return ErrInterrupted, the current one or else the next. A
+	// message that has arrived, or of which a part has, is still read.
+	Interrupt()
+
 	// WriteAnswer sends the result of the statement to the caller.
 	WriteAnswer(a Answer) error
 
-	// Close closes the connection. A concurrent ReadQuery returns an error.
+	// Close closes the connection.
 	Close()
 }
