front: connections count until they are closed, from their acceptance on

A process that stops ends as soon as no session is left. A session whose handshake was running was in nobody's count: it was opened afterwards, its first statement passed on to a member, and the process ended. The same held for connections that were about to be closed. Both count now; once the listener is closed, callers whose sessions aren't open yet are refused, as busy.

TestDrainCountsOpeningSessions failed before (0 sessions left while one is being opened) and passes.

--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -49,6 +49,7 @@
 	// Callers that still connect are refused from now on and connect to another process. Running statements get their
 	// answers.
 	closeListener(callers)
+	n.front.RefuseNew()
 	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
 	n.front.LogUnanswered()
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
--- a/front/server.go
+++ b/front/server.go
@@ -79,10 +79,16 @@
 	// endsAt is the clock.Time that EndAt was called with, or zero.
 	endsAt atomic.Int64
 
-	// mu guards the fields below. cancel ends the context of all sessions; Serve sets it.
+	// mu guards the fields below. opening are the connections whose sessions are not open yet, and closing counts those
+	// whose sessions have ended. cancel ends the context of all sessions; Serve sets it.
 	mu       sync.Mutex
 	sessions map[*session]struct{}
+	opening  map[egret.CallerConn]struct{}
+	closing  int
 	cancel   context.CancelFunc
+
+	// admitsNone is set once new sessions are refused.
+	admitsNone bool
 }
 
 // Serve accepts connections of callers until the listener is closed.
@@ -102,7 +108,9 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go s.serve(ctx, s.Codec(c))
+		opened := s.Codec(c)
+		s.addOpening(opened)
+		go s.serve(ctx, opened)
 	}
 }
 
@@ -128,10 +136,20 @@
 	return clock.Until(end) - answerTransit, true
 }
 
-// Drain closes idle sessions until none is left or the timeout has passed, and returns how many are left. A
-// session is closed only after it has been idle for minIdle: right after an answer the caller's next statement
-// may be on its way, and would be lost. Running statements are never interrupted, and open transactions only shortly
-// before the time that EndAt was called with.
+// RefuseNew refuses all callers whose sessions are not open yet. It is called once the listener is closed.
+func (s *Server) RefuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitsNone = true
+	for c := range s.opening {
+		c.Interrupt()
+	}
+}
+
+// Drain ends idle sessions until no connection is left or the timeout has passed, and returns how many are left, with
+// those whose sessions are being opened. A session is ended only after it has been idle for minIdle: right after an answer
+// the caller's next statement may be on its way, and would be lost. Running statements are never interrupted, and open
+// transactions only shortly before the time that EndAt was called with.
 func (s *Server) Drain(minIdle, timeout time.Duration) int {
 	began := clock.Now()
 	for {
@@ -147,7 +165,7 @@
 }
 
 // CloseIdle ends the sessions that have been idle for at least minIdle and were opened no later than
-// openedBefore. It returns how many sessions are registered, including the ones just ended. The callers of
+// openedBefore. It returns how many connections are open, including those of the sessions just ended. The callers of
 // ended sessions are expected to reconnect.
 func (s *Server) CloseIdle(minIdle time.Duration, openedBefore clock.Time) int {
 	s.mu.Lock()
@@ -158,7 +176,7 @@
 			ss.endIn(phaseIdle)
 		}
 	}
-	return len(s.sessions)
+	return len(s.sessions) + len(s.opening) + s.closing
 }
 
 // closeTransactions ends the sessions that wait for a further statement of an open transaction.
@@ -181,19 +199,32 @@
 
 // serve runs one session from its startup to its end.
 func (s *Server) serve(ctx context.Context, c egret.CallerConn) {
-	defer c.Close()
-	database, err := c.ReadStartup(time.Now().Add(startTimeout))
-	if err != nil {
-		s.refuse(c, egret.FaultMalformed, "the session could not be opened: "+err.Error())
+	ss := s.openSession(ctx, c)
+	if ss == nil {
+		s.closeConn(c, nil)
 		return
 	}
-	if !s.waitForTables(ctx) {
+	ss.run(ctx)
+	ss.stream.Close()
+	s.closeConn(c, ss)
+}
+
+// openSession opens the session of a new connection, or refuses it and returns nil.
+func (s *Server) openSession(ctx context.Context, c egret.CallerConn) *session {
+	database, err := c.ReadStartup(time.Now().Add(startTimeout))
+	switch {
+	case errors.Is(err, egret.ErrInterrupted):
+		s.refuse(c, egret.FaultBusy, "the proxy ends")
+		return nil
+	case err != nil:
+		s.refuse(c, egret.FaultMalformed, "the session could not be opened: "+err.Error())
+		return nil
+	case !s.waitForTables(ctx):
 		s.refuse(c, egret.FaultBusy, "the proxy has no configuration yet")
-		return
-	}
-	if s.route(database) == nil {
+		return nil
+	case s.route(database) == nil:
 		s.refuse(c, egret.FaultNoDatabase, "no route has database "+database)
-		return
+		return nil
 	}
 	ss := &session{
 		server:   s,
@@ -203,16 +234,31 @@
 		prepared: map[string]egret.PreparedStatement{},
 		stream:   s.NewStream(),
 	}
-	defer ss.stream.Close()
-	if !s.add(ss) {
-		s.refuse(c, egret.FaultTooManyConnections, "the proxy takes no more sessions")
-		return
+	if kind, cause := s.add(ss); cause != "" {
+		s.refuse(c, kind, cause)
+		return nil
 	}
-	defer s.remove(ss)
 	if err := c.Admit(); err != nil {
-		return
+		s.remove(ss)
+		return nil
 	}
-	ss.run(ctx)
+	return ss
+}
+
+// closeConn closes a connection. It counts until it is closed, as the output must be delivered before the process ends.
+// The session is nil if none was opened.
+func (s *Server) closeConn(c egret.CallerConn, ss *session) {
+	s.mu.Lock()
+	s.closing++
+	delete(s.opening, c)
+	s.mu.Unlock()
+	if ss != nil {
+		s.remove(ss)
+	}
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing--
 }
 
 // waitForTables waits until the proxy has its first tables. It returns false if the wait times out or the
@@ -237,20 +283,37 @@
 	})
 }
 
-func (s *Server) add(ss *session) bool {
+func (s *Server) addOpening(c egret.CallerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.MaxSessions > 0 && len(s.sessions) >= s.MaxSessions {
-		return false
+	if s.opening == nil {
+		s.opening = map[egret.CallerConn]struct{}{}
+	}
+	s.opening[c] = struct{}{}
+	if s.admitsNone {
+		c.Interrupt()
+	}
+}
+
+// add registers the session, or returns why it is refused.
+func (s *Server) add(ss *session) (egret.FaultKind, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.admitsNone:
+		return egret.FaultBusy, "the proxy ends"
+	case s.MaxSessions > 0 && len(s.sessions) >= s.MaxSessions:
+		return egret.FaultTooManyConnections, "the proxy takes no more sessions"
 	}
 	if s.sessions == nil {
 		s.sessions = map[*session]struct{}{}
 	}
 	s.sessions[ss] = struct{}{}
+	delete(s.opening, ss.conn)
 	if s.Metrics != nil {
 		s.Metrics.SetSessions(len(s.sessions))
 	}
-	return true
+	return egret.FaultNone, ""
 }
 
 func (s *Server) remove(ss *session) {
