platform: closing a caller's connection doesn't discard its answer

Closing a TCP connection that has unread bytes resets it, and what the caller hasn't received yet is lost: here the answer that was just written, if the caller has sent ahead and reads slowly.

Callers that wait for each answer don't show it.

--- a/query.go
+++ b/query.go
@@ -298,6 +298,6 @@
 	// WriteAnswer sends the result of the statement to the caller.
 	WriteAnswer(a Answer) error
 
-	// Close closes the connection.
+	// Close delivers what was sent, and closes the connection.
 	Close()
 }
