--- a/egretlab/soak/run_test.go
+++ b/egretlab/soak/run_test.go
@@ -12,12 +12,7 @@
 // TestSeeds runs soaks with real processes: a seed with planned work only, a seed with faults and synchronous
 // replicas, and seeds that have failed before. The logs of a failed run are kept.
 func TestSeeds(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "egretlane")
-	build := exec.Command("go", "build", "-race", "-o", program, ".")
-	build.Dir = filepath.Join("..", "..", "egretlane")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("building egretlane: %v\n%s", err, out)
-	}
+	program := buildProxy(t)
 	for _, c := range []struct {
 		seed  uint64
 		cause string
@@ -29,33 +24,56 @@
 		{seed: 13, cause: "two holders of a service after the store came back from an older copy"},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
-			folder, err := os.MkdirTemp("", "egret-soak-")
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &Soak{
-				Program:  program,
-				Folder:   folder,
-				Plan:     NewPlan(c.seed, 30*time.Second),
-				Proxies:  5,
-				Services: 2,
-				Callers:  3,
-				Log:      t.Logf,
-			}
-			r, err := s.Run(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range r.Violations {
-				t.Errorf("%s after %s: %s", v.Rule, v.At, v.Detail)
-			}
-			if t.Failed() {
-				t.Logf("%s: the logs are in %s", c.cause, folder)
-				return
-			}
-			if err := os.RemoveAll(folder); err != nil {
-				t.Error(err)
-			}
+			runPlan(t, program, NewPlan(c.seed, 30*time.Second), c.cause)
 		})
 	}
 }
+
+// TestRollingRestarts guards against requests that end without an answer while proxies are stopped one after the other.
+func TestRollingRestarts(t *testing.T) {
+	runPlan(t, buildProxy(t), NewRollingPlan(1, 45*time.Second), "statements that were outstanding when their proxy ended")
+}
+
+// buildProxy builds the proxy with the race detector, and returns the path of its program.
+func buildProxy(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "egretlane")
+	build := exec.Command("go", "build", "-race", "-o", program, ".")
+	build.Dir = filepath.Join("..", "..", "egretlane")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building egretlane: %v\n%s", err, out)
+	}
+	return program
+}
+
+// runPlan runs the plan, and fails the test for each violation.
+func runPlan(t *testing.T, program string, p *Plan, cause string) {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "egret-soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Soak{
+		Program:  program,
+		Folder:   folder,
+		Plan:     p,
+		Proxies:  5,
+		Services: 2,
+		Callers:  3,
+		Log:      t.Logf,
+	}
+	r, err := s.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Errorf("%s after %s: %s", v.Rule, v.At, v.Detail)
+	}
+	if t.Failed() {
+		t.Logf("%s: the logs are in %s", cause, folder)
+		return
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		t.Error(err)
+	}
+}
