group: opening a connection is part of a statement's time

Callers got an answer up to 1.9 s after the statement's time, and a write that was never sent was answered as in doubt, so that callers couldn't repeat it.

Cause: the wait for a slot and the exchange end at the statement's deadline, but not the opening of a connection between them. It took as long as the dialer allows, 0.4 s and 1.5 s, and the exchange then began after its deadline and failed. The statement's deadline now bounds the opening as well, and a statement that gets a connection too late isn't sent, and refused.

TestConnectingTakesStatementTime failed on ("answered after 1.000385738s, with a timeout of 200ms"; the fake member ran the write) and passes in 3 of 3 runs with -race. The fake's Dial follows its context, as the dialer's does.

--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -111,13 +111,18 @@
 	change(s.members[id])
 }
 
-func (s *fakeService) Dial(_ context.Context, b egret.Backend) (egret.BackendConn, error) {
+func (s *fakeService) Dial(ctx context.Context, b egret.Backend) (egret.BackendConn, error) {
 	c, connectTime, err := s.dial(b)
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(connectTime)
-	return c, nil
+	select {
+	case <-time.After(connectTime):
+		return c, nil
+	case <-ctx.Done():
+		c.Close()
+		return nil, ctx.Err()
+	}
 }
 
 // dial returns a connection and how long opening it takes.
--- a/group/stream.go
+++ b/group/stream.go
@@ -164,22 +164,29 @@
 	if l.Metrics != nil {
 		l.Metrics.ObserveQueueWait(w.Route, clock.Since(it.Arrived))
 	}
-	c, err := l.getConn(ctx, m, it.Need, w.Values)
-	if err == nil && !l.Lease.Valid() {
-		l.putConn(c)
+	dialCtx, cancel := context.WithTimeout(ctx, clock.Until(it.Deadline))
+	defer cancel()
+	c, err := l.getConn(dialCtx, m, it.Need, w.Values)
+	if err != nil {
 		l.releaseSlot(m)
-		return nil, notHolderFault()
+		if errors.Is(err, errIneligible) {
+			return nil, egret.Fault{}
+		}
+		l.handleConnectError(m, err)
+		l.excludeMember(it, m)
+		return nil, egret.Fault{}
 	}
-	if err == nil {
+	switch {
+	case !l.Lease.Valid():
+		fault = notHolderFault()
+	case clock.Now() >= it.Deadline:
+		fault = busyFault("no connection was available in time")
+	default:
 		return c, egret.Fault{}
 	}
+	l.putConn(c)
 	l.releaseSlot(m)
-	if errors.Is(err, errIneligible) {
-		return nil, egret.Fault{}
-	}
-	l.handleConnectError(m, err)
-	l.excludeMember(it, m)
-	return nil, egret.Fault{}
+	return nil, fault
 }
 
 // excludeMember excludes a member that failed a read from further attempts, until all members are excluded. Statements
