front: a session ends by itself, not with the context of its statements

Callers that had sent a statement ahead of an answer got no answer to it when the process stopped, and callers whose transaction was answered at that moment weren't told of its rollback.

Cause: the session's loop ended with the context that the end of the server cancels, without a last look at what has arrived. Drain ends sessions already, by a way that reads what has arrived and tells of open transactions.

The fake connection reads what has arrived in spite of an interruption, as its interface demands; before, it chose one of both at random.

--- a/front/fake_test.go
+++ b/front/fake_test.go
@@ -53,15 +53,26 @@
 	c.once.Do(func() { close(c.waiting) })
 	select {
 	case q, open := <-c.queries:
-		if !open {
-			return egret.Query{}, io.EOF
-		}
-		return q, nil
+		return received(q, open)
 	case <-c.interrupts:
+	}
+	// What has arrived is read in spite of the interruption.
+	select {
+	case q, open := <-c.queries:
+		return received(q, open)
+	default:
 		return egret.Query{}, egret.ErrInterrupted
 	}
 }
 
+// received returns what ReadQuery returns for a value from the channel.
+func received(q egret.Query, open bool) (egret.Query, error) {
+	if !open {
+		return egret.Query{}, io.EOF
+	}
+	return q, nil
+}
+
 func (c *fakeConn) Interrupt() {
 	if c.onInterrupt != nil {
 		c.onInterrupt()
--- a/front/session.go
+++ b/front/session.go
@@ -103,10 +103,11 @@
 	}
 }
 
-// run serves statements until the caller or the proxy ends the session.
+// run serves statements until the caller or the proxy ends the session. Statements that are read after the end of the
+// context are still answered.
 func (s *session) run(ctx context.Context) {
 	s.status = egret.TxIdle
-	for ctx.Err() == nil {
+	for {
 		waiting := phaseInTransaction
 		if s.status == egret.TxIdle {
 			s.idleSince.Store(int64(clock.Now()))
