link: a statement that can't be put on an ended stream isn't in doubt

Callers of long sessions got "in doubt" for a write that was never sent, and couldn't repeat it: the first one after the holder of the service had restarted under its address, or the connection between two proxies had been replaced.

Cause: the stream of an idle session ends with its connection, which nobody looks at until the next statement. Its Send fails, but the error was ignored, and the one of Recv says that the answer is missing. gRPC returns an error from Send only if the message was not queued for the connection. Such a statement is now reported as not sent and routed again; a transaction, which ended with its stream, is reported as aborted.

--- a/link/stream.go
+++ b/link/stream.go
@@ -69,10 +69,17 @@
 	defer check.Stop()
 	stop := context.AfterFunc(ctx, s.cancel)
 	defer stop()
+	sendErr := s.stream.Send(m)
 	// If Send fails, Recv returns the cause.
-	_ = s.stream.Send(m)
 	reply, err := s.stream.Recv()
-	if err != nil {
+	switch {
+	case sendErr != nil && w.InTransaction:
+		s.cancelStream()
+		return faultAnswer(egret.FaultAborted, "the proxy that had the transaction was lost")
+	case sendErr != nil:
+		s.cancelStream()
+		return faultAnswer(egret.FaultNotHolder, "the stream had ended before the statement was sent")
+	case err != nil:
 		s.cancelStream()
 		return faultAnswer(egret.FaultNoAnswer, "no answer from the proxy that holds the service: "+err.Error())
 	}
