lease: a release follows other changes of the record by the same process

Callers waited for a holder, or got no answer from a process that stopped meanwhile, after a process had released a service: the release was written at a revision that the same process had just replaced, by its voters or a new primary, and gave up at the conflict. The lease ended without a trace in the store, and with it soon the process that could have told of it.

Cause: after a conflict, Release went on only if a restored store had an older record. A process that registers makes both writes due at about the same time: the holder's voters change, and a holder that stops hands its service over.

After a conflict, Release reads the key and writes again at the revision that this process now holds, with the record as it is then, so that a primary that was written meanwhile is kept. A record of another process still ends it.

TestReleaseFollowsOwnWrite failed before (released false, with the primary b) and passes.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -381,6 +381,19 @@
 	return v.Stored, displaced
 }
 
+// readHeld reads the key after a conflict at a revision. It returns the key's revision, and whether this process may write
+// its record there: it has changed the record itself since, or a restored store has an older one while the lease is valid.
+func (l *Lease) readHeld(ctx context.Context, conflicting egret.Revision) (egret.Revision, bool) {
+	stored, displaced := l.readDisplaced(ctx)
+	if displaced {
+		return stored, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := l.heldRevision.Exists() && l.heldRevision == l.latest.Stored && conflicting.Before(l.heldRevision)
+	return l.heldRevision, changed
+}
+
 // restoreRecord writes the record again after the store has lost the key, or has brought back an older record, and reports
 // whether it did. It does so only while the lease is valid, as no other process can hold the service then, and none had
 // replaced what was in the store when the write took effect. Like a read that shows the record, the write extends the
--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -44,6 +45,9 @@
 
 	// conflicts counts writes at a revision that is no longer the newest.
 	conflicts int
+
+	// beforeRelease is called once, before the first write of a release. It may be nil.
+	beforeRelease func()
 }
 
 func newCluster() *cluster {
@@ -233,6 +237,13 @@
 	}
 	cl := k.cluster
 	cl.mu.Lock()
+	beforeRelease := cl.beforeRelease
+	if r := (Record{}); beforeRelease != nil && json.Unmarshal(data, &r) == nil && r.Released {
+		cl.beforeRelease = nil
+		cl.mu.Unlock()
+		beforeRelease()
+		cl.mu.Lock()
+	}
 	if cl.refusing {
 		cl.refusals++
 		cl.mu.Unlock()
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -88,14 +88,17 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	l.mu.Lock()
-	revision, record := l.heldRevision, l.ownRecord()
+	revision := l.heldRevision
 	l.mu.Unlock()
 	if !revision.Exists() {
 		return
 	}
-	record.Released = true
-	record.Successor = successor
 	for ctx.Err() == nil {
+		l.mu.Lock()
+		record := l.ownRecord()
+		l.mu.Unlock()
+		record.Released = true
+		record.Successor = successor
 		_, err := l.writeRecord(ctx, revision, record)
 		l.EventLog.Event("service-released").Str("service", l.Service).Str("revision", revision.String()).Str("successor", successor).Err(err).Msg("asked the store to record the release of the lease")
 		if err == nil {
@@ -103,8 +106,8 @@
 			return
 		}
 		if errors.Is(err, egret.ErrConflict) {
-			stored, displaced := l.readDisplaced(ctx)
-			if !displaced {
+			stored, held := l.readHeld(ctx, revision)
+			if !held {
 				break
 			}
 			revision = stored
