lease: a lease is neither valid nor renewed once its release has begun

Found while reading for the end of a process, not seen by callers: two holders for the time of a call to the store. A process that stops also releases leases that aren't valid yet. While the store records the release, a read may show the record unchanged, and the lease becomes valid: a lane is started that the shutdown doesn't know, and it runs statements although the next holder, which need not wait after a release, may run others.

Cause: Release relied on its caller to have stopped the use of the service, which can't hold for a use that begins later. Release now ends it: from its beginning the lease isn't valid, OnValid isn't called, and Run doesn't renew it or write to the record.

TestNoUseDuringRelease failed before (the lease becomes valid during its release) and passes.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -344,7 +344,7 @@
 	if l.latest.Stored.Before(v.Stored) {
 		l.observe(v)
 	}
-	if !l.heldRevision.Exists() || v.Revision != l.heldRevision {
+	if !l.heldRevision.Exists() || v.Revision != l.heldRevision || l.releasing {
 		return false
 	}
 	first := l.validUntil == 0
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -215,6 +215,10 @@
 	// renewalDue says that Run renews the lease without waiting for renewInterval.
 	renewalDue bool
 
+	// releasing is set while Release writes to the record. Another process may use the service as soon as the store has
+	// executed that write, so that the lease isn't valid any more, and isn't renewed.
+	releasing bool
+
 	// givenUpRevision is the revision of a lease that was valid and ended without a successor, or zero.
 	givenUpRevision egret.Revision
 
@@ -242,11 +246,12 @@
 		case <-l.wakeups:
 		}
 		l.mu.Lock()
-		held, due := l.heldRevision.Exists(), l.renewalDue
+		held, due, releasing := l.heldRevision.Exists(), l.renewalDue, l.releasing
 		l.renewalDue = false
 		l.mu.Unlock()
 		timer.Reset(checkInterval)
 		switch {
+		case releasing:
 		case !held:
 			if idle := l.tryAcquire(ctx); idle {
 				timer.Reset(idleCheckInterval)
@@ -373,6 +378,7 @@
 		l.givenUpRevision = l.heldRevision
 	}
 	l.heldRevision = egret.Revision{}
+	l.releasing = false
 	l.validUntil = 0
 	l.unwrittenIntent = Intent{}
 	l.proposedVoters = nil
--- a/lease/release_test.go
+++ b/lease/release_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"egretlane.example/egret"
 )
 
 // TestReleaseFollowsOwnWrite guards against a service without a holder: a process that stops gives up the release of its lease
@@ -37,3 +39,37 @@
 		t.Errorf("the record has the primary %q, want the one that was written last", v.Record.Primary)
 	}
 }
+
+// TestNoUseDuringRelease guards against two holders: a lease that was acquired and becomes valid while the store records its
+// release, which lets the next holder use the service at once.
+func TestNoUseDuringRelease(t *testing.T) {
+	t.Parallel()
+	cl := newCluster()
+	l := cl.newLease(0, 1, "1")
+	used := false
+	l.OnValid = func(*Lease) func() {
+		used = true
+		return func() {}
+	}
+	l.Observe(egret.Item{
+		Revision: egret.Revision{Era: cl.revision.Era},
+	})
+	l.acquire(t.Context(), cause{
+		name:          "released",
+		holderStopped: true,
+		stored:        l.latest.Stored,
+	})
+	if !l.Acquired() || l.Valid() {
+		t.Fatalf("acquired %t, valid %t", l.Acquired(), l.Valid())
+	}
+	cl.beforeRelease = func() {
+		l.renew(t.Context())
+		if used || l.Valid() {
+			t.Error("the lease becomes valid during its release")
+		}
+	}
+	l.Release(t.Context(), "")
+	if l.Acquired() {
+		t.Error("the lease is still held after its release")
+	}
+}
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -10,11 +10,11 @@
 	"egretlane.example/egret/clock"
 )
 
-// Valid reports whether this process holds the lease and it hasn't expired.
+// Valid reports whether this process holds the lease, and it has neither expired nor is it being released.
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heldRevision.Exists() && clock.Now() < l.validUntil
+	return l.heldRevision.Exists() && !l.releasing && clock.Now() < l.validUntil
 }
 
 // Acquired reports whether the record names this process as the holder. Its lease becomes valid once those of former
@@ -89,6 +89,7 @@
 	defer cancel()
 	l.mu.Lock()
 	revision := l.heldRevision
+	l.releasing = revision.Exists()
 	l.mu.Unlock()
 	if !revision.Exists() {
 		return
