egretlane: a process that stops ends once its services are released

Statements of other processes waited for a holder, some of them until their own process ended too: a process without sessions ended 2.2 s after SIGTERM, in the middle of a release or with a service that it had kept as no other process could take it. Such a service has no holder until its lease has expired and another process has noticed.

Cause: shutDown waited for sessions only, and the loop that releases services ended with it. It now also waits until no lease is held, as long as the grace period allows. A kept service is released 1 s before statements end, as before, so that this is the latest end of a process without sessions.

TestShutdownReleasesKeptServices and TestShutdownWaitsForReleases failed before ("the process ends and has not released its service", after 2.26 s) and pass.

--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -33,7 +33,8 @@
 )
 
 // shutDown leaves the fleet: it releases the services to other processes, and ends the sessions when they are idle. Each
-// statement that was read is answered before the grace period ends.
+// statement that was read is answered before the grace period ends. It returns once no connection of a caller is left and
+// no lease is held, or when the grace period is nearly over.
 func (n *node) shutDown(callers net.Listener) {
 	start := time.Now()
 	grace := time.Duration(n.settings.ShutdownGrace)
@@ -53,6 +54,20 @@
 	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
 	n.front.LogUnanswered()
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
+	held := n.awaitReleases(start.Add(grace - exitReserve))
+	n.eventLog.Event("services-released").Int("left", held).Dur("elapsed", time.Since(start)).Msg("services released")
+}
+
+// awaitReleases waits until this process holds no lease, but not beyond the given time. It returns the number of leases
+// that are left.
+func (n *node) awaitReleases(until time.Time) int {
+	for {
+		left := len(n.fleet.AcquiredLeases())
+		if left == 0 || !time.Now().Before(until) {
+			return left
+		}
+		time.Sleep(handOverInterval)
+	}
 }
 
 // handOver releases the services whose leases this process holds, until the context ends. A lease may become valid, or the
--- /dev/null
+++ b/egretlane/shutdown_test.go
@@ -0,0 +1,298 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"egretlane.example/egret"
+	"egretlane.example/egret/config"
+	"egretlane.example/egret/evlog"
+	"egretlane.example/egret/fleet"
+	"egretlane.example/egret/group"
+	"egretlane.example/egret/lease"
+)
+
+const (
+	testGrace = 5 * time.Second
+
+	// testNode is the process under test, otherNode another one, which doesn't run.
+	testNode  = "proxy-1"
+	otherNode = "proxy-2"
+
+	nodesPrefix = "egretlane/nodes/"
+)
+
+// closedAddress is an address at which no process listens.
+var closedAddress = netip.MustParseAddrPort("127.0.0.1:1")
+
+// testStore is a store in memory. It implements egret.Keyspace.
+type testStore struct {
+	mu    sync.Mutex
+	items map[string]egret.Item
+	last  uint64
+
+	// onWrite is called before the record of a service is written. It may be nil.
+	onWrite func(ctx context.Context, service string, r lease.Record)
+}
+
+func newTestStore() *testStore {
+	return &testStore{
+		items: map[string]egret.Item{},
+	}
+}
+
+func (s *testStore) revision() egret.Revision {
+	return egret.Revision{
+		Era:    1,
+		Number: s.last,
+	}
+}
+
+// put writes a key. The caller holds mu.
+func (s *testStore) put(key string, data []byte) egret.Revision {
+	s.last++
+	s.items[key] = egret.Item{
+		Key:      key,
+		Data:     data,
+		Revision: s.revision(),
+		Removed:  data == nil,
+	}
+	return s.revision()
+}
+
+func (s *testStore) putJSON(t *testing.T, key string, v any) {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, data)
+}
+
+// register registers the other process.
+func (s *testStore) register(t *testing.T) {
+	t.Helper()
+	s.putJSON(t, nodesPrefix+otherNode, fleet.Node{
+		ID:          otherNode,
+		Incarnation: "1",
+		Address:     closedAddress,
+	})
+}
+
+// release writes records of services that the other process has released to the process under test.
+func (s *testStore) release(t *testing.T, services ...string) {
+	t.Helper()
+	for _, name := range services {
+		s.putJSON(t, lease.Prefix+name, lease.Record{
+			Node:        otherNode,
+			Incarnation: "1",
+			Address:     closedAddress,
+			Released:    true,
+			Successor:   testNode,
+		})
+	}
+}
+
+// released reports whether the process under test has released the service.
+func (s *testStore) released(t *testing.T, service string) bool {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := lease.Record{}
+	if err := json.Unmarshal(s.items[lease.Prefix+service].Data, &r); err != nil {
+		t.Fatal(err)
+	}
+	return r.Released && r.Node == testNode
+}
+
+func (s *testStore) Read(_ context.Context, key string) (egret.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item := s.items[key]
+	if item.Data == nil {
+		item = egret.Item{
+			Revision: egret.Revision{Era: 1},
+		}
+	}
+	return item, nil
+}
+
+func (s *testStore) List(_ context.Context, prefix string) ([]egret.Item, egret.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := []egret.Item{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && !item.Removed {
+			found = append(found, item)
+		}
+	}
+	return found, s.revision(), nil
+}
+
+func (s *testStore) Watch(ctx context.Context, prefix string, after egret.Revision, wait time.Duration) ([]egret.Item, egret.Revision, error) {
+	for deadline := time.Now().Add(wait); ; time.Sleep(2 * time.Millisecond) {
+		s.mu.Lock()
+		found, at := []egret.Item{}, s.revision()
+		for key, item := range s.items {
+			if strings.HasPrefix(key, prefix) && after.Before(item.Revision) {
+				found = append(found, item)
+			}
+		}
+		s.mu.Unlock()
+		if len(found) > 0 || ctx.Err() != nil || time.Now().After(deadline) {
+			return found, at, ctx.Err()
+		}
+	}
+}
+
+func (s *testStore) CompareAndSwap(ctx context.Context, key string, revision egret.Revision, data []byte, _ egret.StoreLease) (egret.Revision, error) {
+	if service, found := strings.CutPrefix(key, lease.Prefix); found && s.onWrite != nil {
+		r := lease.Record{}
+		if err := json.Unmarshal(data, &r); err != nil {
+			return egret.Revision{}, err
+		}
+		s.onWrite(ctx, service, r)
+	}
+	if err := ctx.Err(); err != nil {
+		return egret.Revision{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items[key].Revision.Number != revision.Number {
+		return egret.Revision{}, egret.ErrConflict
+	}
+	return s.put(key, data), nil
+}
+
+func (s *testStore) Grant(context.Context, time.Duration) (egret.StoreLease, error) {
+	return egret.StoreLease{
+		ID:  1,
+		Era: 1,
+	}, nil
+}
+
+func (s *testStore) Renew(context.Context, egret.StoreLease) error { return nil }
+
+func (s *testStore) Revoke(context.Context, egret.StoreLease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(nodesPrefix+testNode, nil)
+	return nil
+}
+
+// newTestNode returns a node that uses the store and takes the services that are released to it.
+func newTestNode(s *testStore, services ...string) *node {
+	settings := &config.Settings{
+		Node:          testNode,
+		ShutdownGrace: config.Duration(testGrace),
+	}
+	settings.Listen.Peers = netip.MustParseAddrPort("127.0.0.1:2")
+	settings.Platform.Store, settings.Platform.Promotion = closedAddress, closedAddress
+	n := newNode(settings, &evlog.Log{})
+	n.fleet.Keys = s
+	n.fleet.StartLane = func(l *lease.Lease) *group.Lane {
+		lane := &group.Lane{
+			Service: l.Service,
+			Lease:   l,
+		}
+		lane.Init()
+		return lane
+	}
+	n.fleet.Configure(services)
+	return n
+}
+
+// runFleet runs the fleet of a node until the test ends.
+func runFleet(t *testing.T, n *node) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.fleet.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// startShutDown shuts the node down, and returns a channel that is closed when the process would end.
+func startShutDown(t *testing.T, n *node) <-chan struct{} {
+	t.Helper()
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.shutDown(callers)
+	}()
+	return ended
+}
+
+// await waits for the channel, and fails the test after the timeout.
+func await(t *testing.T, what string, c <-chan struct{}, timeout time.Duration) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(timeout):
+		t.Fatalf("no %s within %v", what, timeout)
+	}
+}
+
+// awaitLane waits until the node holds the service.
+func awaitLane(t *testing.T, n *node, service string) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); n.fleet.Lane(service) == nil; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the process doesn't take %s", service)
+		}
+	}
+}
+
+// TestShutdownReleasesKeptServices guards against a process that ends with a service that it kept since no other process could
+// take it. Until its lease expires, the service has no holder, and statements of other processes wait for one.
+func TestShutdownReleasesKeptServices(t *testing.T) {
+	t.Parallel()
+	s := newTestStore()
+	s.release(t, "s")
+	n := newTestNode(s, "s")
+	runFleet(t, n)
+	awaitLane(t, n, "s")
+	await(t, "end of the process", startShutDown(t, n), testGrace)
+	if !s.released(t, "s") {
+		t.Error("the process ends and has not released its service")
+	}
+}
+
+// TestShutdownWaitsForReleases guards against a process that ends while the store records the release of a service.
+func TestShutdownWaitsForReleases(t *testing.T) {
+	t.Parallel()
+	s := newTestStore()
+	s.release(t, "s")
+	s.onWrite = func(_ context.Context, _ string, r lease.Record) {
+		if r.Released {
+			time.Sleep(700 * time.Millisecond)
+		}
+	}
+	n := newTestNode(s, "s")
+	runFleet(t, n)
+	awaitLane(t, n, "s")
+	ended := startShutDown(t, n)
+	time.Sleep(unreadyDelay - 400*time.Millisecond)
+	s.register(t)
+	await(t, "end of the process", ended, testGrace)
+	if !s.released(t, "s") {
+		t.Error("the process ends and has not released its service")
+	}
+}
