egretlane: a process that stops releases each lease on its own

Statements waited for a holder while the one that they needed had its lease and was stopping: the loop that releases services waited for all releases that it had begun, up to 1.5 s with a slow store, before it looked for leases that had been acquired meanwhile, or for services that had been kept until then.

Now each lease is released by a goroutine of its own, and the loop looks again at its interval.

TestShutdownReleasesEachLeaseAtOnce failed before ("the late lease is released after the other one") and passes.

--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/front"
+	"egretlane.example/egret/lease"
 )
 
 const (
@@ -72,23 +72,27 @@
 
 // handOver releases the services whose leases this process holds, until the context ends. A lease may become valid, or the
 // store confirm that it was acquired, after the shutdown has begun. A service that no other process can take is kept until
-// then or until the given time.
+// the given time.
 func (n *node) handOver(ctx context.Context, keepUntil time.Time) {
+	// No lease is acquired again once it is released.
+	begun := map[*lease.Lease]bool{}
 	for ctx.Err() == nil {
-		wg := sync.WaitGroup{}
 		for _, l := range n.fleet.AcquiredLeases() {
 			successor := n.fleet.Successor(l.Service)
-			if successor == "" && time.Now().Before(keepUntil) {
+			if begun[l] || successor == "" && time.Now().Before(keepUntil) {
 				continue
 			}
-			wg.Go(func() {
-				if lane := n.fleet.Lane(l.Service); lane != nil {
-					lane.Drain(laneDrainTimeout)
-				}
-				l.Release(context.Background(), successor)
-			})
+			begun[l] = true
+			go n.release(l, successor)
 		}
-		wg.Wait()
 		time.Sleep(handOverInterval)
 	}
 }
+
+// release stops the use of a service and releases its lease.
+func (n *node) release(l *lease.Lease, successor string) {
+	if lane := n.fleet.Lane(l.Service); lane != nil {
+		lane.Drain(laneDrainTimeout)
+	}
+	l.Release(context.Background(), successor)
+}
--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -296,3 +297,38 @@
 		t.Error("the process ends and has not released its service")
 	}
 }
+
+// TestShutdownReleasesEachLeaseAtOnce guards against a service whose holder stops and keeps it for seconds: the store takes long to
+// record the release of another service, and a lease that is acquired meanwhile is noticed only after that.
+func TestShutdownReleasesEachLeaseAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newTestStore()
+	s.register(t)
+	s.release(t, "early", "late")
+	releasing, releasingLate := make(chan struct{}), make(chan struct{})
+	closeReleasing := sync.OnceFunc(func() { close(releasing) })
+	closeReleasingLate := sync.OnceFunc(func() { close(releasingLate) })
+	earlyDone := atomic.Bool{}
+	s.onWrite = func(ctx context.Context, service string, r lease.Record) {
+		switch {
+		case service == "late" && r.Released:
+			if earlyDone.Load() {
+				t.Error("the late lease is released after the other one")
+			}
+			closeReleasingLate()
+		case service == "late":
+			<-releasing
+		case r.Released:
+			closeReleasing()
+			<-ctx.Done()
+			earlyDone.Store(true)
+		}
+	}
+	n := newTestNode(s, "early", "late")
+	runFleet(t, n)
+	awaitLane(t, n, "early")
+	ended := startShutDown(t, n)
+	await(t, "release of the early lease", releasing, time.Second)
+	await(t, "release of the late lease", releasingLate, testGrace)
+	await(t, "end of the process", ended, testGrace)
+}
