egretlane: a process that stops writes answers until shortly before the end of the grace period

An answer that wasn't written 0.2 s after the end of all statements was lost, though 0.6 s of the grace period were left: they were reserved for the export of spans (up to 0.5 s, which is off unless set) and for the log.

Statements end at the same time as before, 0.8 s before the end, and there are now 0.5 s to write their answers. The export of the last spans gets 0.1 s, the log 0.1 s as before, and the end of the process 0.1 s.

TestShutdownUsesTheGracePeriod failed before ("the process ends 591.804913ms before the grace period does") and passes.

--- a/egretlane/fleet_command.go
+++ b/egretlane/fleet_command.go
@@ -24,7 +24,7 @@
 const memoryLimitPercent = 70
 
 // spanFlushTimeout bounds the export of the last spans when the process ends.
-const spanFlushTimeout = 500 * time.Millisecond
+const spanFlushTimeout = 100 * time.Millisecond
 
 // logFlushTimeout bounds the writing of the last log lines when the process ends.
 const logFlushTimeout = 100 * time.Millisecond
--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -19,11 +19,12 @@
 	// those that have just answered, whose next statement may be on its way.
 	idleDrainTimeout = 1200 * time.Millisecond
 
-	// exitReserve is the part of the grace period that is left when the process stops waiting for sessions to end.
-	exitReserve = 600 * time.Millisecond
+	// exitReserve is the part of the grace period that is left when the process stops waiting for sessions to end. The last
+	// spans and log lines are written in it, and the process ends.
+	exitReserve = spanFlushTimeout + logFlushTimeout + 100*time.Millisecond
 
 	// answerReserve is the time between the last moment at which a statement is answered and the end of the sessions.
-	answerReserve = 200 * time.Millisecond
+	answerReserve = 500 * time.Millisecond
 
 	// laneDrainTimeout is how long a lane waits for its transactions to end before its service is released.
 	laneDrainTimeout = 500 * time.Millisecond
--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -226,13 +226,20 @@
 	})
 }
 
-// startShutDown shuts the node down, and returns a channel that is closed when the process would end.
-func startShutDown(t *testing.T, n *node) <-chan struct{} {
+// listen returns a listener on a loopback port.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// startShutDown shuts the node down, and returns a channel that is closed when the process would end.
+func startShutDown(t *testing.T, n *node, callers net.Listener) <-chan struct{} {
+	t.Helper()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -270,7 +277,7 @@
 	n := newTestNode(s, "s")
 	runFleet(t, n)
 	awaitLane(t, n, "s")
-	await(t, "end of the process", startShutDown(t, n), testGrace)
+	await(t, "end of the process", startShutDown(t, n, listen(t)), testGrace)
 	if !s.released(t, "s") {
 		t.Error("the process ends and has not released its service")
 	}
@@ -289,7 +296,7 @@
 	n := newTestNode(s, "s")
 	runFleet(t, n)
 	awaitLane(t, n, "s")
-	ended := startShutDown(t, n)
+	ended := startShutDown(t, n, listen(t))
 	time.Sleep(unreadyDelay - 400*time.Millisecond)
 	s.register(t)
 	await(t, "end of the process", ended, testGrace)
@@ -327,8 +334,72 @@
 	n := newTestNode(s, "early", "late")
 	runFleet(t, n)
 	awaitLane(t, n, "early")
-	ended := startShutDown(t, n)
+	ended := startShutDown(t, n, listen(t))
 	await(t, "release of the early lease", releasing, time.Second)
 	await(t, "release of the late lease", releasingLate, testGrace)
 	await(t, "end of the process", ended, testGrace)
 }
+
+// stuckStream answers a statement once answer is closed.
+type stuckStream struct {
+	started, answer chan struct{}
+}
+
+func (s *stuckStream) Do(context.Context, egret.StatementRequest) egret.Answer {
+	close(s.started)
+	<-s.answer
+	return egret.Answer{
+		Signature: "s",
+		Status:    egret.TxIdle,
+	}
+}
+
+func (s *stuckStream) Close() {}
+
+// TestShutdownUsesTheGracePeriod guards against a process that ends while statements are still being answered, although most of
+// the time between their end and that of the grace period is left.
+func TestShutdownUsesTheGracePeriod(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(newTestStore())
+	runFleet(t, n)
+	stream := &stuckStream{
+		started: make(chan struct{}),
+		answer:  make(chan struct{}),
+	}
+	n.front.NewStream = func() egret.Stream { return stream }
+	n.front.Tables = func() *egret.Tables {
+		return &egret.Tables{
+			Revision: 1,
+			Routes: []egret.Route{{
+				Name:     "orders",
+				Database: "orders",
+				Pool:     "orders-db",
+				Budget:   time.Minute,
+			}},
+		}
+	}
+	callers := listen(t)
+	go func() { _ = n.front.Serve(t.Context(), callers) }()
+	s := sessionServer{
+		address: callers.Addr().String(),
+	}
+	c := s.connect(t)
+	c.send("STARTUP orders test\r\n")
+	if text, err := c.answer(); err != nil {
+		t.Fatalf("%q, %v", text, err)
+	}
+	c.send("QUERY 1 READ a\r\n")
+	<-stream.started
+	began := time.Now()
+	ended := startShutDown(t, n, callers)
+	select {
+	case <-ended:
+		t.Errorf("the process ends %v before the grace period does", testGrace-time.Since(began))
+	case <-time.After(testGrace - 400*time.Millisecond):
+	}
+	close(stream.answer)
+	await(t, "end of the process", ended, 400*time.Millisecond)
+	if text, err := c.answer(); err != nil || !strings.Contains(text, "COMPLETE s") {
+		t.Errorf("the caller gets %q, %v", text, err)
+	}
+}
