egretlane, link: a process that stops answers the statements of other processes

Callers of other processes were told that the outcome of a write is unknown although nothing had been run, or lost an answer that was ready: the gRPC server was stopped as soon as the process's own sessions had ended. Statements of other processes were in nobody's count.

link.Server counts them from their arrival until their answer is passed to the transport. Once the services are released, so that no lane runs a statement any more, the process ends after no such statement was in progress for 50 ms, in which the transport writes the last answers; at the latest when the time for answers is over.

TestServerCountsStatements is new with the method.

--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -52,6 +52,7 @@
 	pool     *link.Pool
 	fleet    *fleet.Fleet
 	front    *front.Server
+	links    *link.Server
 	metrics  *nodeMetrics
 
 	// shuttingDown is true while the process shuts down. isolated is true while more than half of the services are out
@@ -114,6 +115,9 @@
 		EventLog:    eventLog,
 		Metrics:     n.metrics,
 	}
+	n.links = &link.Server{
+		Host: n,
+	}
 	return n
 }
 
@@ -175,10 +179,7 @@
 	components, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, serving := errgroup.WithContext(components)
-	server := link.Server{
-		Host: n,
-	}
-	rpc := server.NewGRPC()
+	rpc := n.links.NewGRPC()
 	g.Go(func() error { return rpc.Serve(l.peers) })
 	g.Go(func() error { return serveHTTP(l.ready, &platform.ReadinessHandler{IsReady: n.ready}) })
 	if l.metrics != nil {
--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -31,11 +31,18 @@
 
 	// handOverInterval is the interval at which a process that stops looks for leases that it still holds.
 	handOverInterval = 50 * time.Millisecond
+
+	// peerQuietTime is how long no statement of another process may be in progress before the process ends. The last
+	// answers are written in it.
+	peerQuietTime = 50 * time.Millisecond
+
+	// peerPollInterval is the interval at which a process that ends looks for such statements.
+	peerPollInterval = 5 * time.Millisecond
 )
 
 // shutDown leaves the fleet: it releases the services to other processes, and ends the sessions when they are idle. Each
-// statement that was read is answered before the grace period ends. It returns once no connection of a caller is left and
-// no lease is held, or when the grace period is nearly over.
+// statement that was read is answered before the grace period ends. It returns once no connection of a caller is left,
+// no lease is held and the statements of other processes are answered, or when the grace period is nearly over.
 func (n *node) shutDown(callers net.Listener) {
 	start := time.Now()
 	grace := time.Duration(n.settings.ShutdownGrace)
@@ -55,8 +62,11 @@
 	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
 	n.front.LogUnanswered()
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
-	held := n.awaitReleases(start.Add(grace - exitReserve))
+	end := start.Add(grace - exitReserve)
+	held := n.awaitReleases(end)
 	n.eventLog.Event("services-released").Int("left", held).Dur("elapsed", time.Since(start)).Msg("services released")
+	left = n.awaitPeers(end)
+	n.eventLog.Event("peers-answered").Int("left", left).Dur("elapsed", time.Since(start)).Msg("answered the statements of other processes")
 }
 
 // awaitReleases waits until this process holds no lease, but not beyond the given time. It returns the number of leases
@@ -71,6 +81,22 @@
 	}
 }
 
+// awaitPeers waits until the statements of other processes are answered, but not beyond the given time. It returns the number
+// of those that are left.
+func (n *node) awaitPeers(until time.Time) int {
+	quietSince := time.Now()
+	for {
+		left, now := n.links.InProgress(), time.Now()
+		if left > 0 {
+			quietSince = now
+		}
+		if now.Sub(quietSince) >= peerQuietTime || !now.Before(until) {
+			return left
+		}
+		time.Sleep(peerPollInterval)
+	}
+}
+
 // handOver releases the services whose leases this process holds, until the context ends. A lease may become valid, or the
 // store confirm that it was acquired, after the shutdown has begun. A service that no other process can take is kept until
 // the given time.
--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -17,6 +17,7 @@
 	"egretlane.example/egret/fleet"
 	"egretlane.example/egret/group"
 	"egretlane.example/egret/lease"
+	"egretlane.example/egret/link"
 )
 
 const (
@@ -403,3 +404,57 @@
 		t.Errorf("the caller gets %q, %v", text, err)
 	}
 }
+
+// TestShutdownAnswersOtherProcesses guards against statements of other processes that get no answer from a process that stops,
+// so that their callers are told that the outcome is unknown though nothing was run.
+func TestShutdownAnswersOtherProcesses(t *testing.T) {
+	t.Parallel()
+	s := newTestStore()
+	s.putJSON(t, lease.Prefix+"s", lease.Record{
+		Node:        otherNode,
+		Incarnation: "1",
+		Address:     closedAddress,
+	})
+	n := newTestNode(s, "s")
+	l := listeners{
+		peers:   listen(t),
+		ready:   listen(t),
+		callers: listen(t),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := n.serve(ctx, l); err != nil {
+			t.Error(err)
+		}
+	}()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, known := n.fleet.Lease("s").LatestRecord(); known {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the process doesn't know the holder")
+		}
+	}
+	stop()
+	pool := link.Pool{}
+	defer pool.Close()
+	stream := pool.Stream(netip.MustParseAddrPort(l.peers.Addr().String()), true)
+	defer stream.Close()
+	a := stream.Do(t.Context(), egret.StatementRequest{
+		Service: "s",
+		Query: egret.Query{
+			ID:   "1",
+			Verb: egret.VerbWrite,
+			Text: "WRITE a",
+		},
+		Writes:  true,
+		Timeout: 3 * time.Second,
+	})
+	if !a.Fault.Kind.NotRun() {
+		t.Errorf("the other process gets %+v, want a fault that says that the statement was not run", a.Fault)
+	}
+	await(t, "end of the process", ended, testGrace)
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -56,14 +56,19 @@
 
 // serveHost serves a host until the test ends. It returns its address and a function that stops it earlier.
 func serveHost(t *testing.T, h Host) (netip.AddrPort, func()) {
+	t.Helper()
+	return serve(t, &Server{
+		Host: h,
+	})
+}
+
+// serve is serveHost for a server.
+func serve(t *testing.T, s *Server) (netip.AddrPort, func()) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := Server{
-		Host: h,
-	}
 	g := s.NewGRPC()
 	go func() { _ = g.Serve(l) }()
 	t.Cleanup(g.Stop)
@@ -252,3 +257,39 @@
 		t.Errorf("got changes %t (-want +got):\n%s", ok, d)
 	}
 }
+
+// TestServerCountsStatements guards against a process that ends with statements of other processes in progress, as nobody
+// counts them.
+func TestServerCountsStatements(t *testing.T) {
+	started, proceed := make(chan struct{}), make(chan struct{})
+	s := Server{
+		Host: &fakeHost{
+			do: func(egret.StatementRequest) egret.Answer {
+				close(started)
+				<-proceed
+				return egret.Answer{}
+			},
+		},
+	}
+	address, _ := serve(t, &s)
+	stream := newPool(t).Stream(address, false)
+	defer stream.Close()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		stream.Do(t.Context(), egret.StatementRequest{
+			Timeout: 5 * time.Second,
+		})
+	}()
+	<-started
+	if n := s.InProgress(); n != 1 {
+		t.Errorf("%d statements in progress, want 1", n)
+	}
+	close(proceed)
+	<-answered
+	for deadline := time.Now().Add(time.Second); s.InProgress() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the statement is in progress after its answer")
+		}
+	}
+}
--- a/link/server.go
+++ b/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -55,6 +56,9 @@
 
 	// Host is the process whose calls the server handles.
 	Host Host
+
+	// inProgress counts the statements that were received and whose answers were not sent yet.
+	inProgress atomic.Int64
 }
 
 // NewGRPC returns a gRPC server on which s is registered.
@@ -85,15 +89,28 @@
 		if stream == nil {
 			stream = s.Host.PeerStream(m.GetPassOn())
 		}
-		ctx, span := spans.Start(spans.Extract(g.Context(), m.GetTraceparent()), "proxy", m.GetId(), m.GetService())
-		a := stream.Do(ctx, requestFromWire(m))
-		spans.End(span, a.Member, a.Fault.Kind.String())
-		if err := g.Send(answerToWire(&a)); err != nil {
+		if err := s.answer(g, stream, m); err != nil {
 			return err
 		}
 	}
 }
 
+// answer runs a statement and sends its answer.
+func (s *Server) answer(g grpc.BidiStreamingServer[linkpb.Work, linkpb.Answer], stream egret.Stream, m *linkpb.Work) error {
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
+	ctx, span := spans.Start(spans.Extract(g.Context(), m.GetTraceparent()), "proxy", m.GetId(), m.GetService())
+	a := stream.Do(ctx, requestFromWire(m))
+	spans.End(span, a.Member, a.Fault.Kind.String())
+	return g.Send(answerToWire(&a))
+}
+
+// InProgress returns the number of statements that have no answer yet. The transport may still have to write the answers to
+// others when it is zero.
+func (s *Server) InProgress() int {
+	return int(s.inProgress.Load())
+}
+
 // Ping returns the identity and the state of the process.
 func (s *Server) Ping(context.Context, *linkpb.PingRequest) (*linkpb.PingReply, error) {
 	reply := &linkpb.PingReply{
