--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"egretlane.example/egret/clock"
 	"egretlane.example/egret/front"
+	"egretlane.example/egret/lease"
 )
 
 const (
@@ -19,21 +19,30 @@
 	// those that have just answered, whose next statement may be on its way.
 	idleDrainTimeout = 1200 * time.Millisecond
 
-	// exitReserve is the part of the grace period that is left when the process stops waiting for sessions to end.
-	exitReserve = 600 * time.Millisecond
+	// exitReserve is the part of the grace period that is left when the process stops waiting for sessions to end. The last
+	// spans and log lines are written in it, and the process ends.
+	exitReserve = spanFlushTimeout + logFlushTimeout + 100*time.Millisecond
 
 	// answerReserve is the time between the last moment at which a statement is answered and the end of the sessions.
-	answerReserve = 200 * time.Millisecond
+	answerReserve = 500 * time.Millisecond
 
 	// laneDrainTimeout is how long a lane waits for its transactions to end before its service is released.
 	laneDrainTimeout = 500 * time.Millisecond
 
 	// handOverInterval is the interval at which a process that stops looks for leases that it still holds.
 	handOverInterval = 50 * time.Millisecond
+
+	// peerQuietTime is how long no statement of another process may be in progress before the process ends. The last
+	// answers are written in it.
+	peerQuietTime = 50 * time.Millisecond
+
+	// peerPollInterval is the interval at which a process that ends looks for such statements.
+	peerPollInterval = 5 * time.Millisecond
 )
 
 // shutDown leaves the fleet: it releases the services to other processes, and ends the sessions when they are idle. Each
-// statement that was read is answered before the grace period ends.
+// statement that was read is answered before the grace period ends. It returns once no connection of a caller is left,
+// no lease is held and the statements of other processes are answered, or when the grace period is nearly over.
 func (n *node) shutDown(callers net.Listener) {
 	start := time.Now()
 	grace := time.Duration(n.settings.ShutdownGrace)
@@ -53,27 +62,64 @@
 	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
 	n.front.LogUnanswered()
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
+	end := start.Add(grace - exitReserve)
+	held := n.awaitReleases(end)
+	n.eventLog.Event("services-released").Int("left", held).Dur("elapsed", time.Since(start)).Msg("services released")
+	left = n.awaitPeers(end)
+	n.eventLog.Event("peers-answered").Int("left", left).Dur("elapsed", time.Since(start)).Msg("answered the statements of other processes")
+}
+
+// awaitReleases waits until this process holds no lease, but not beyond the given time. It returns the number of leases
+// that are left.
+func (n *node) awaitReleases(until time.Time) int {
+	for {
+		left := len(n.fleet.AcquiredLeases())
+		if left == 0 || !time.Now().Before(until) {
+			return left
+		}
+		time.Sleep(handOverInterval)
+	}
+}
+
+// awaitPeers waits until the statements of other processes are answered, but not beyond the given time. It returns the number
+// of those that are left.
+func (n *node) awaitPeers(until time.Time) int {
+	quietSince := time.Now()
+	for {
+		left, now := n.links.InProgress(), time.Now()
+		if left > 0 {
+			quietSince = now
+		}
+		if now.Sub(quietSince) >= peerQuietTime || !now.Before(until) {
+			return left
+		}
+		time.Sleep(peerPollInterval)
+	}
 }
 
 // handOver releases the services whose leases this process holds, until the context ends. A lease may become valid, or the
 // store confirm that it was acquired, after the shutdown has begun. A service that no other process can take is kept until
-// then or until the given time.
+// the given time.
 func (n *node) handOver(ctx context.Context, keepUntil time.Time) {
+	// No lease is acquired again once it is released.
+	begun := map[*lease.Lease]bool{}
 	for ctx.Err() == nil {
-		wg := sync.WaitGroup{}
 		for _, l := range n.fleet.AcquiredLeases() {
 			successor := n.fleet.Successor(l.Service)
-			if successor == "" && time.Now().Before(keepUntil) {
+			if begun[l] || successor == "" && time.Now().Before(keepUntil) {
 				continue
 			}
-			wg.Go(func() {
-				if lane := n.fleet.Lane(l.Service); lane != nil {
-					lane.Drain(laneDrainTimeout)
-				}
-				l.Release(context.Background(), successor)
-			})
+			begun[l] = true
+			go n.release(l, successor)
 		}
-		wg.Wait()
 		time.Sleep(handOverInterval)
 	}
 }
+
+// release stops the use of a service and releases its lease.
+func (n *node) release(l *lease.Lease, successor string) {
+	if lane := n.fleet.Lane(l.Service); lane != nil {
+		lane.Drain(laneDrainTimeout)
+	}
+	l.Release(context.Background(), successor)
+}
--- a/lease/validity.go
+++ b/lease/validity.go
@@ -10,11 +10,11 @@
 	"egretlane.example/egret/clock"
 )
 
-// Valid reports whether this process holds the lease and it hasn't expired.
+// Valid reports whether this process holds the lease, and it has neither expired nor is it being released.
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heldRevision.Exists() && clock.Now() < l.validUntil
+	return l.heldRevision.Exists() && !l.releasing && clock.Now() < l.validUntil
 }
 
 // Acquired reports whether the record names this process as the holder. Its lease becomes valid once those of former
@@ -88,14 +88,18 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	l.mu.Lock()
-	revision, record := l.heldRevision, l.ownRecord()
+	revision := l.heldRevision
+	l.releasing = revision.Exists()
 	l.mu.Unlock()
 	if !revision.Exists() {
 		return
 	}
-	record.Released = true
-	record.Successor = successor
 	for ctx.Err() == nil {
+		l.mu.Lock()
+		record := l.ownRecord()
+		l.mu.Unlock()
+		record.Released = true
+		record.Successor = successor
 		_, err := l.writeRecord(ctx, revision, record)
 		l.EventLog.Event("service-released").Str("service", l.Service).Str("revision", revision.String()).Str("successor", successor).Err(err).Msg("asked the store to record the release of the lease")
 		if err == nil {
@@ -103,8 +107,8 @@
 			return
 		}
 		if errors.Is(err, egret.ErrConflict) {
-			stored, displaced := l.readDisplaced(ctx)
-			if !displaced {
+			stored, held := l.readHeld(ctx, revision)
+			if !held {
 				break
 			}
 			revision = stored
