caller, entry: requests and transactions are answered before the time for a shutdown is over

Cause: Drain closed the remaining connections from outside as soon as its context ended; the sessions' own goroutines, which know what became of their requests, could only fail to write. Now Drain asks for the end 2 s before its context does, or at half of the time if that is shorter. The context of the sessions ends, so that a lane cancels a running statement, and each session answers with what the lane says: unknown if the statement may have run, not run with SQLSTATE 57P01 if it has not. Then it ends with FATAL 57P01, which also tells callers of open transactions that they are rolled back. Requests are not tried again after that; without the check in attempt.go a request that finds no lane would go on until its own time ends.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -18,7 +18,8 @@
 // a caller that does read would be disconnected when its request finished just before the deadline.
 const answerWriteGrace = time.Second
 
-// ErrDraining reports that the proxy is shutting down and the caller was idle.
+// ErrDraining reports that the proxy is shutting down and the caller was idle, or that the time for the shutdown is over. In
+// the latter case it is also the cause of the end of the context that Handler.Serve was called with.
 const ErrDraining = errors.ConstError("the proxy is shutting down")
 
 // ErrIdleTimeout reports that the caller was idle for longer than allowed.
@@ -27,7 +28,7 @@
 // ErrBatchTimeout reports that the rest of a batch was not received within Server.BatchTimeout.
 const ErrBatchTimeout = errors.ConstError("the rest of the request did not come in time")
 
-// Conn is a caller's connection. It is used by one goroutine; only drain may be called by others.
+// Conn is a caller's connection. It is used by one goroutine; only drain and end may be called by others.
 type Conn struct {
 	// Startup has the parameters of the caller's start-up message.
 	Startup Startup
@@ -182,6 +183,11 @@
 	c.reader.drain()
 }
 
+// end makes all reads fail with ErrDraining, the current one and later ones.
+func (c *Conn) end() {
+	c.reader.end()
+}
+
 // send encodes a message into the output.
 func (c *Conn) send(m pgproto3.BackendMessage) {
 	out, err := m.Encode(c.output)
@@ -206,8 +212,8 @@
 	// inTransaction reports whether a transaction is open. drain doesn't interrupt the wait then.
 	inTransaction bool
 
-	// draining reports whether the proxy is shutting down.
-	draining bool
+	// draining reports whether the proxy is shutting down, and ending whether the time for that is over.
+	draining, ending bool
 
 	// idleDeadline is the deadline of the wait. Zero sets none. In a transaction it is the deadline for the whole
 	// batch.
@@ -237,8 +243,18 @@
 	}
 }
 
+// end makes all reads fail, the current one and later ones.
+func (r *batchReader) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ending = true
+	// If this fails, the connection is closed and the read fails too.
+	_ = r.netConn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // Read reads from the connection. On a timeout it returns ErrDraining or ErrIdleTimeout if the caller is idle. Within a
-// batch it returns ErrIdleTimeout if a transaction is open, or else ErrBatchTimeout.
+// batch it returns ErrIdleTimeout if a transaction is open, or else ErrBatchTimeout. Once end was called, it returns
+// ErrDraining.
 func (r *batchReader) Read(b []byte) (int, error) {
 	if err := r.setDeadline(); err != nil {
 		return 0, err
@@ -253,7 +269,7 @@
 		return n, err
 	}
 	switch {
-	case r.idle && r.draining && !r.inTransaction:
+	case r.ending, r.idle && r.draining && !r.inTransaction:
 		return 0, ErrDraining
 	case r.idle || r.inTransaction:
 		return 0, ErrIdleTimeout
@@ -269,7 +285,7 @@
 		return nil
 	}
 	r.idle = false
-	if r.inTransaction {
+	if r.inTransaction || r.ending {
 		return nil
 	}
 	return r.netConn.SetReadDeadline(time.Now().Add(r.batchTimeout))
@@ -279,6 +295,9 @@
 func (r *batchReader) setDeadline() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ending {
+		return ErrDraining
+	}
 	if !r.idle {
 		return nil
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -34,13 +34,18 @@
 // drainHandshakeTimeout limits the rest of a handshake once the proxy is shutting down.
 const drainHandshakeTimeout = time.Second
 
+// endReserve is how long before the end of its context Drain ends all requests and transactions, at most. A member may take
+// 0.4 s to answer a cancellation through another proxy, and the answer must reach the caller.
+const endReserve = 2 * time.Second
+
 // Handler runs callers' sessions.
 type Handler interface {
 	// Admit decides whether an authenticated caller may connect. It is called before the caller is told that it is
 	// connected. The error is a *egret.Failure.
 	Admit(s *Startup) error
 
-	// Serve runs the session of a connection until the caller disconnects or the context is canceled.
+	// Serve runs the session of a connection until the caller disconnects or the proxy shuts down. Shortly before the time
+	// for the shutdown is over the context ends, with the cause ErrDraining. A running request is ended and answered then.
 	Serve(ctx context.Context, c *Conn)
 
 	// Cancel cancels the running request of the session that has the key.
@@ -104,8 +109,12 @@
 	// handshaking are the connections whose handshake is not completed.
 	handshaking map[net.Conn]struct{}
 
-	// draining reports whether the server is shutting down: sessions end once no transaction is open.
-	draining bool
+	// draining reports whether the server is shutting down: sessions end once no transaction is open. ending reports whether
+	// the time for that is over: requests and transactions are ended as well.
+	draining, ending bool
+
+	// endRequests ends the context of all sessions. Run sets it.
+	endRequests context.CancelCauseFunc
 
 	// goroutines tracks the goroutines of connections.
 	goroutines sync.WaitGroup
@@ -153,6 +162,8 @@
 		_ = l.Close()
 	})
 	defer stop()
+	serving, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	s.setEndRequests(end)
 	for {
 		n, err := l.Accept()
 		if ctx.Err() != nil {
@@ -165,13 +176,14 @@
 		}
 		s.Metrics.Accepted.Inc()
 		s.goroutines.Go(func() {
-			s.serve(context.WithoutCancel(ctx), n)
+			s.serve(serving, n)
 		})
 	}
 }
 
-// Drain closes idle connections at once, and the others once they have no open transaction. It returns when all are
-// closed. When the context ends first, it closes the remaining connections and returns an error.
+// Drain ends idle sessions at once, and the others once they have no open transaction. Shortly before the context ends, it
+// ends all requests, which are answered, and all open transactions. It returns when all connections are closed. When the
+// context ends first, as callers don't read their answers, it closes the remaining connections and returns an error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.startDrain()
 	done := make(chan struct{})
@@ -179,6 +191,11 @@
 		s.goroutines.Wait()
 		close(done)
 	}()
+	if deadline, bounded := ctx.Deadline(); bounded {
+		left := time.Until(deadline)
+		timer := time.AfterFunc(left-min(endReserve, left/2), s.endSessions)
+		defer timer.Stop()
+	}
 	select {
 	case <-done:
 		return nil
@@ -208,6 +225,25 @@
 	}
 }
 
+func (s *Server) setEndRequests(end context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endRequests = end
+}
+
+// endSessions makes each session end its request and its transaction.
+func (s *Server) endSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	for c := range s.conns {
+		c.end()
+	}
+	if s.endRequests != nil {
+		s.endRequests(ErrDraining)
+	}
+}
+
 func (s *Server) serve(ctx context.Context, n net.Conn) {
 	defer n.Close()
 	if !s.beginHandshake(n) {
@@ -263,6 +299,9 @@
 	if s.draining {
 		c.drain()
 	}
+	if s.ending {
+		c.end()
+	}
 	return true
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -12,7 +12,7 @@
 // floorLookupTimeout bounds the lookup of a group's confirmed position in one attempt.
 const floorLookupTimeout = time.Second
 
-// run attempts the request until it is answered, may not be retried, or its time budget ends.
+// run attempts the request until it is answered, may not be retried, or its time budget or the context ends.
 func (q *request) run(ctx context.Context) (egret.BatchResult, *egret.Failure) {
 	// lastUnknown is the last failure of unknown outcome, or nil.
 	var lastUnknown *egret.Failure
@@ -27,7 +27,7 @@
 		if f.Reason == egret.ReasonReadOnly && !q.readOnlyInferred {
 			return egret.BatchResult{}, readOnlyFailure()
 		}
-		if !q.mayRetry(f) {
+		if ctx.Err() != nil || !q.mayRetry(f) {
 			return egret.BatchResult{}, requestFailure(f, lastUnknown)
 		}
 		if q.updateAfterFailure(f) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -22,6 +22,9 @@
 type fakePeers struct {
 	mu      sync.Mutex
 	current egret.GroupPrimary
+
+	// budget is the time of a request.
+	budget time.Duration
 }
 
 func (p *fakePeers) Self() egret.Node {
@@ -63,7 +66,7 @@
 			Caller:        "workshop",
 			Database:      "catalogo-db",
 			Pool:          "catalogo",
-			Budget:        2 * time.Second,
+			Budget:        p.budget,
 			AllowReplicas: true,
 		}},
 		Pools: []egret.Pool{{
@@ -83,6 +86,9 @@
 	// answer returns the result of the n-th attempt, counted from 1.
 	answer func(n int, o egret.TransactionOptions) (egret.BatchResult, error)
 
+	// hold, if not nil, is called with the context of each batch before the batch is answered.
+	hold func(ctx context.Context)
+
 	// rejects makes each answer an error of the database.
 	rejects bool
 
@@ -145,7 +151,10 @@
 	attempt int
 }
 
-func (t *fakeTransaction) Exchange(_ context.Context, _ egret.Batch, sink func([]byte) error) (egret.BatchResult, error) {
+func (t *fakeTransaction) Exchange(ctx context.Context, _ egret.Batch, sink func([]byte) error) (egret.BatchResult, error) {
+	if t.lanes.hold != nil {
+		t.lanes.hold(ctx)
+	}
 	result, err := t.lanes.answer(t.attempt, t.options)
 	if err != nil {
 		return egret.BatchResult{}, err
@@ -196,6 +205,7 @@
 			Term:    1,
 			Primary: "m1",
 		},
+		budget: 2 * time.Second,
 	}
 	h := &Handler{
 		Peers:     p,
--- a/entry/request.go
+++ b/entry/request.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
@@ -94,7 +95,7 @@
 	s.conn.UpdatePrepared(in, q.reply.parseCompletes)
 	if f != nil {
 		span.SetStatus(codes.Error, f.Message)
-		s.fail(s.cancelFailureOr(f), egret.TxIdle)
+		s.fail(s.cancelFailureOr(ctx, f), egret.TxIdle)
 	} else {
 		s.finish(q, result)
 	}
@@ -169,16 +170,26 @@
 	s.raiseFloor(group, p)
 }
 
-// cancelFailureOr returns f, or the failure that a caller expects after its own cancel request if the request was
-// canceled before it ran.
-func (s *session) cancelFailureOr(f *egret.Failure) *egret.Failure {
-	if !s.isCanceled() || f.Outcome != egret.OutcomeNotRun {
+// cancelFailureOr returns f, or the failure that a caller expects after its own cancel request or a shutdown if the request
+// was canceled before it ran.
+func (s *session) cancelFailureOr(ctx context.Context, f *egret.Failure) *egret.Failure {
+	switch {
+	case f.Outcome != egret.OutcomeNotRun:
+		return f
+	case s.isCanceled():
+		return &egret.Failure{
+			Outcome: f.Outcome,
+			Code:    "57014",
+			Message: "the request was canceled on the caller's word",
+		}
+	case errors.Is(context.Cause(ctx), caller.ErrDraining):
+		return &egret.Failure{
+			Outcome: f.Outcome,
+			Code:    codeShutdown,
+			Message: "the request was canceled as the proxy is shutting down",
+		}
+	default:
 		return f
-	}
-	return &egret.Failure{
-		Outcome: f.Outcome,
-		Code:    "57014",
-		Message: "the request was canceled on the caller's word",
 	}
 }
 
@@ -205,7 +216,7 @@
 	s.conn.SetAnswerDeadline(time.Time{})
 	s.conn.UpdatePrepared(in, reply.parseCompletes)
 	if err != nil {
-		s.failTransaction(egret.FailureOf(err), r)
+		s.failTransaction(ctx, egret.FailureOf(err), r)
 		return
 	}
 	s.handler.loads.update(o.member, result.Load, -1, time.Now())
@@ -222,7 +233,7 @@
 // failTransaction reports that the lane has lost the transaction. If the batch was to end the transaction, the
 // caller is outside of it afterwards. Otherwise the transaction is rolled back, nothing of it takes effect, and
 // the caller has yet to end it.
-func (s *session) failTransaction(f *egret.Failure, r route.Request) {
+func (s *session) failTransaction(ctx context.Context, f *egret.Failure, r route.Request) {
 	s.handler.Metrics.Requests.WithLabelValues(s.openTx.route.Name, s.openTx.role, outcomeLabel(f, false)).Inc()
 	s.closeTransaction()
 	if r.Has(route.ActionEnd) {
@@ -230,7 +241,7 @@
 		return
 	}
 	s.txLost = true
-	s.fail(s.cancelFailureOr(f), egret.TxFailed)
+	s.fail(s.cancelFailureOr(ctx, f), egret.TxFailed)
 }
 
 // startSpan starts the span of a request, as a child of the span that its traceparent hint names, if any.
--- a/entry/session.go
+++ b/entry/session.go
@@ -19,6 +19,9 @@
 	positionParameter = "egretlane.position"
 )
 
+// codeShutdown is SQLSTATE admin_shutdown.
+const codeShutdown = "57P01"
+
 // session is a caller's session. One goroutine uses it; only cancel may be called from others.
 type session struct {
 	handler *Handler
@@ -118,7 +121,11 @@
 func (s *session) reportSessionEnd(err error) {
 	switch {
 	case errors.Is(err, caller.ErrDraining):
-		s.conn.WriteFatal("57P01", "the proxy is shutting down: connect again")
+		message := "the proxy is shutting down: connect again"
+		if s.openTx.tx != nil {
+			message = "the proxy is shutting down, and the transaction is rolled back: connect again"
+		}
+		s.conn.WriteFatal(codeShutdown, message)
 	case errors.Is(err, caller.ErrIdleTimeout):
 		s.conn.WriteFatal("25P03", "the transaction was idle for too long and is rolled back")
 	case errors.Is(err, caller.ErrMessageTooLarge):
