caller: a shutdown doesn't drop a batch that has arrived

Callers of a proxy that stopped got FATAL 57P01 in place of the answer to a batch that had arrived, as the process had not read it yet.

Cause: to interrupt a session's wait, drain sets a read deadline in the past, and a read whose deadline is over fails without a look at the socket. A session whose wait began after that did not read at all. Now the wait reads once more, with a deadline 5 ms ahead, and is given up only if nothing has arrived then.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -60,7 +60,7 @@
 }
 
 // ReadBatch reads a batch. While it waits for the first byte, it fails with ErrDraining when the proxy shuts down,
-// unless a transaction is open, and with ErrIdleTimeout at idleDeadline if that isn't zero.
+// unless a transaction is open or the batch has arrived, and with ErrIdleTimeout at idleDeadline if that isn't zero.
 func (c *Conn) ReadBatch(inTransaction bool, idleDeadline time.Time) (*IncomingBatch, error) {
 	c.reader.beginWait(inTransaction, idleDeadline)
 	b := batchBuilder{
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -18,6 +18,9 @@
 // a caller that does read would be disconnected when its request finished just before the deadline.
 const answerWriteGrace = time.Second
 
+// lastReadTimeout is how long a session that a shutdown ends waits for a batch that has arrived or is about to.
+const lastReadTimeout = 5 * time.Millisecond
+
 // ErrDraining reports that the proxy is shutting down and the caller was idle, or that the time for the shutdown is over. In
 // the latter case it is also the cause of the end of the context that Handler.Serve was called with.
 const ErrDraining = errors.ConstError("the proxy is shutting down")
@@ -178,7 +181,8 @@
 	return c.reader.draining
 }
 
-// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones.
+// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones, unless a
+// batch has arrived.
 func (c *Conn) drain() {
 	c.reader.drain()
 }
@@ -232,12 +236,13 @@
 	r.idleDeadline = idleDeadline
 }
 
-// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones.
+// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones, unless a
+// batch has arrived.
 func (r *batchReader) drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.draining = true
-	if r.idle && !r.inTransaction {
+	if r.endsWait() {
 		// If this fails, the connection is closed and the read fails too.
 		_ = r.netConn.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -260,6 +265,9 @@
 		return 0, err
 	}
 	n, err := r.netConn.Read(b)
+	if isTimeout(err) && r.beginLastRead() {
+		n, err = r.netConn.Read(b)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n > 0 {
@@ -269,7 +277,7 @@
 		return n, err
 	}
 	switch {
-	case r.ending, r.idle && r.draining && !r.inTransaction:
+	case r.ending, r.endsWait():
 		return 0, ErrDraining
 	case r.idle || r.inTransaction:
 		return 0, ErrIdleTimeout
@@ -278,6 +286,22 @@
 	}
 }
 
+// endsWait reports whether the shutdown ends the wait for a batch. The caller holds mu.
+func (r *batchReader) endsWait() bool {
+	return r.idle && r.draining && !r.inTransaction
+}
+
+// beginLastRead prepares a read after a wait that the shutdown has ended, or returns false: a read whose deadline is over fails
+// also if a batch has arrived.
+func (r *batchReader) beginLastRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ending || !r.endsWait() {
+		return false
+	}
+	return r.netConn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
+}
+
 // beginBatch records that the first bytes of a batch were received: a shutdown doesn't interrupt the rest of it. The
 // caller holds mu.
 func (r *batchReader) beginBatch() error {
@@ -291,7 +315,7 @@
 	return r.netConn.SetReadDeadline(time.Now().Add(r.batchTimeout))
 }
 
-// setDeadline sets the read deadline of the wait for a batch, or returns ErrDraining.
+// setDeadline sets the read deadline of the wait for a batch, or returns ErrDraining once end was called.
 func (r *batchReader) setDeadline() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -301,8 +325,8 @@
 	if !r.idle {
 		return nil
 	}
-	if r.draining && !r.inTransaction {
-		return ErrDraining
+	if r.endsWait() {
+		return r.netConn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return r.netConn.SetReadDeadline(r.idleDeadline)
 }
