caller, entry: a shutdown answers batches that were sent ahead

Callers that send batches ahead got FATAL 57P01, or a reset, in place of answers when a proxy stopped, although their batches had arrived.

Cause: a draining session ended right after an answer, with no look at what it had read together with the batch before and at what lay in the socket. Now only ReadBatch ends the wait, which takes what was read and what has arrived. The look for input comes before the answer is sent, and the answer goes out together with the FATAL if there is none.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -59,8 +59,10 @@
 	statement *egret.NamedStatement
 }
 
-// ReadBatch reads a batch. While it waits for the first byte, it fails with ErrDraining when the proxy shuts down,
+// ReadBatch sends the buffered output and reads a batch. While it waits for the first byte, it fails with ErrDraining when the proxy shuts down,
 // unless a transaction is open or the batch has arrived, and with ErrIdleTimeout at idleDeadline if that isn't zero.
+// If the proxy is shutting down already, the output stays buffered until it is known whether the caller has sent ahead:
+// otherwise a caller that sends its next batch as soon as it has an answer would keep the session open.
 func (c *Conn) ReadBatch(inTransaction bool, idleDeadline time.Time) (*IncomingBatch, error) {
 	c.reader.beginWait(inTransaction, idleDeadline)
 	b := batchBuilder{
@@ -75,7 +77,8 @@
 			return nil, errors.Trace(ErrTerminated)
 		}
 		if b.handle(m) {
-			return b.batch(), nil
+			// The batch may have been read together with the one before.
+			return b.batch(), c.Flush()
 		}
 	}
 }
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -80,13 +80,15 @@
 	b := pgproto3.NewBackend(r, n)
 	// The caller is not authenticated yet, so only small messages are read.
 	b.SetMaxBodyLen(maxPacketBytes)
-	return &Conn{
+	c := &Conn{
 		netConn:       n,
 		backend:       b,
 		reader:        r,
 		maxBatchBytes: maxBatchBytes,
 		prepared:      make(map[string]egret.NamedStatement),
 	}
+	r.flush = c.Flush
+	return c
 }
 
 // Write buffers encoded messages. At flushThresholdBytes it flushes the buffer, which blocks while the caller is slow
@@ -141,7 +143,7 @@
 // Flush writes the buffered output. It fails if the caller doesn't read it in time, so that a caller that reads nothing
 // doesn't keep a member's connection in use.
 func (c *Conn) Flush() error {
-	if c.writeErr != nil {
+	if c.writeErr != nil || len(c.output) == 0 {
 		return c.writeErr
 	}
 	if c.writeTimeout > 0 {
@@ -174,13 +176,6 @@
 	return d
 }
 
-// Draining reports whether the session should end as soon as no transaction is open.
-func (c *Conn) Draining() bool {
-	c.reader.mu.Lock()
-	defer c.reader.mu.Unlock()
-	return c.reader.draining
-}
-
 // drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones, unless a
 // batch has arrived.
 func (c *Conn) drain() {
@@ -208,6 +203,9 @@
 	// netConn is the caller's connection.
 	netConn net.Conn
 
+	// flush sends the output that is buffered.
+	flush func() error
+
 	mu sync.Mutex
 
 	// idle reports whether the reader waits for the first byte of a batch.
@@ -261,6 +259,21 @@
 // batch it returns ErrIdleTimeout if a transaction is open, or else ErrBatchTimeout. Once end was called, it returns
 // ErrDraining.
 func (r *batchReader) Read(b []byte) (int, error) {
+	if !r.isEnding() {
+		if err := r.flush(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := r.read(b)
+	if err != nil {
+		return n, err
+	}
+	// The caller may wait for this output before it sends the rest of the batch.
+	return n, r.flush()
+}
+
+// read is Read without the output.
+func (r *batchReader) read(b []byte) (int, error) {
 	if err := r.setDeadline(); err != nil {
 		return 0, err
 	}
@@ -286,6 +299,13 @@
 	}
 }
 
+// isEnding reports whether the session ends unless a batch has arrived.
+func (r *batchReader) isEnding() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ending || r.endsWait()
+}
+
 // endsWait reports whether the shutdown ends the wait for a batch. The caller holds mu.
 func (r *batchReader) endsWait() bool {
 	return r.idle && r.draining && !r.inTransaction
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -172,3 +173,100 @@
 		t.Errorf("Drain() = %v", err)
 	}
 }
+
+// TestDrainAnswersBatchesSentAhead guards against batches that get no answer since the session ends after the answer before: they
+// were read together with the batch before, or lie in the socket.
+func TestDrainAnswersBatchesSentAhead(t *testing.T) {
+	for _, c := range []struct {
+		name string
+
+		// first is sent in one write, and then, while the first batch runs, the rest in another.
+		first, rest []string
+	}{
+		{name: "read together", first: []string{"SELECT 1", "SELECT 2", "SELECT 3"}},
+		{name: "in the socket", first: []string{"SELECT 1"}, rest: []string{"SELECT 2", "SELECT 3"}},
+		{name: "half in the socket", first: []string{"SELECT 1", "SELECT 2"}, rest: []string{"SELECT 3"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			running := make(chan struct{}, 3)
+			drains := make(chan struct{})
+			tp := startProxy(t, func(n int, _ egret.TransactionOptions) (egret.BatchResult, error) {
+				return completed(egret.TxIdle, uint64(n))
+			})
+			tp.lanes.hold = func(context.Context) {
+				running <- struct{}{}
+				<-drains
+			}
+			_, f := tp.login(t)
+			idle, idleFrontend := tp.login(t)
+			query(t, f, c.first...)
+			<-running
+			if len(c.rest) > 0 {
+				query(t, f, c.rest...)
+			}
+			drained := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				drained <- tp.server.Drain(ctx)
+			}()
+			awaitDraining(t, idle, idleFrontend)
+			close(drains)
+			for range 3 {
+				wantAnswer(t, f, "")
+			}
+			wantAnswer(t, f, "FATAL 57P01")
+			if err := <-drained; err != nil {
+				t.Errorf("Drain() = %v", err)
+			}
+		})
+	}
+}
+
+// TestDrainEndsBusySessions guards against shutdowns that take the whole time since a caller sends its next request as soon as it
+// has the answer to the one before.
+func TestDrainEndsBusySessions(t *testing.T) {
+	running := make(chan struct{}, 1)
+	drains := make(chan struct{})
+	tp := startProxy(t, func(n int, _ egret.TransactionOptions) (egret.BatchResult, error) {
+		return completed(egret.TxIdle, uint64(n))
+	})
+	tp.lanes.hold = func(context.Context) {
+		select {
+		case running <- struct{}{}:
+		default:
+		}
+		<-drains
+	}
+	_, f := tp.login(t)
+	idle, idleFrontend := tp.login(t)
+	query(t, f, "SELECT 1")
+	<-running
+	drained := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		drained <- tp.server.Drain(ctx)
+	}()
+	awaitDraining(t, idle, idleFrontend)
+	close(drains)
+	wantAnswer(t, f, "")
+	query(t, f, "SELECT 2")
+	wantAnswer(t, f, "FATAL 57P01")
+	if err := <-drained; err != nil {
+		t.Errorf("Drain() = %v", err)
+	}
+	if n := len(tp.lanes.allAttempts()); n != 1 {
+		t.Errorf("%d requests went to a member, want the one that was sent before the shutdown's answer", n)
+	}
+}
+
+// awaitDraining waits until all sessions know of the shutdown. idle is a session without a request.
+func awaitDraining(t *testing.T, idle net.Conn, f *pgproto3.Frontend) {
+	t.Helper()
+	wantAnswer(t, f, "FATAL 57P01")
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("reading from an ended session: %v, want EOF", err)
+	}
+}
--- a/entry/session.go
+++ b/entry/session.go
@@ -99,13 +99,6 @@
 			return
 		}
 		s.serve(ctx, in)
-		if err := s.conn.Flush(); err != nil {
-			return
-		}
-		if s.conn.Draining() && s.openTx.tx == nil && !s.txLost {
-			s.reportSessionEnd(caller.ErrDraining)
-			return
-		}
 	}
 }
 
