caller: closing a connection doesn't discard its answer

Callers that send ahead and read slowly lost the end of an answer, and the error after it, when their session ended: after a protocol error, an idle timeout, a refusal or in a shutdown, on plain and encrypted connections.

Cause: closing a TCP connection that has unread bytes resets it, and what the caller hasn't received yet is lost. Now the output is ended first (on TLS connections also with close_notify), and the connection reads on for 0.5 s at most, until the caller has closed its side. It counts neither as a session nor as a handshake meanwhile, but Drain waits for it. If only such connections are left at the end of its context, Drain no longer reports "0 connections were still busy"; it counts running handshakes instead, which it left out before. Connections over the limit of handshakes are still closed at once, as nothing is sent to them.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -187,6 +188,14 @@
 	c.reader.end()
 }
 
+// endOutput tells the caller that nothing follows, so that an encrypted connection doesn't look cut off.
+func (c *Conn) endOutput() {
+	if t, encrypted := c.netConn.(*tls.Conn); encrypted && c.writeErr == nil {
+		// The caller may be disconnected already.
+		_ = t.CloseWrite()
+	}
+}
+
 // send encodes a message into the output.
 func (c *Conn) send(m pgproto3.BackendMessage) {
 	out, err := m.Encode(c.output)
--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -38,6 +39,9 @@
 // 0.4 s to answer a cancellation through another proxy, and the answer must reach the caller.
 const endReserve = 2 * time.Second
 
+// lingerTimeout is how long a connection that ends waits for the caller to read all that was sent and to close its side.
+const lingerTimeout = 500 * time.Millisecond
+
 // Handler runs callers' sessions.
 type Handler interface {
 	// Admit decides whether an authenticated caller may connect. It is called before the caller is told that it is
@@ -209,7 +213,11 @@
 	for n := range s.handshaking {
 		n.Close()
 	}
-	return errors.Errorf("%d connections were still busy", len(s.conns))
+	if busy := len(s.conns) + len(s.handshaking); busy > 0 {
+		return errors.Errorf("%d connections were still busy", busy)
+	}
+	// What remains are callers that were told the end and haven't closed their side.
+	return nil
 }
 
 func (s *Server) startDrain() {
@@ -245,11 +253,12 @@
 }
 
 func (s *Server) serve(ctx context.Context, n net.Conn) {
-	defer n.Close()
 	if !s.beginHandshake(n) {
 		s.Metrics.Refused.WithLabelValues("limit").Inc()
+		n.Close()
 		return
 	}
+	defer closeDelivering(n)
 	c, err := s.handshake(ctx, n)
 	s.endHandshake(n)
 	if err != nil {
@@ -259,11 +268,24 @@
 	if c == nil {
 		return
 	}
-	defer c.netConn.Close()
+	defer c.endOutput()
 	defer s.removeConn(c)
 	s.Handler.Serve(ctx, c)
 }
 
+// closeDelivering closes a connection. Unless the caller has closed its side, it reads on for a short time after the end of the
+// output: closing a connection that has unread bytes resets it, which discards output that the caller hasn't read.
+func closeDelivering(n net.Conn) {
+	defer n.Close()
+	h, ok := n.(interface{ CloseWrite() error })
+	if !ok || h.CloseWrite() != nil {
+		return
+	}
+	if n.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, n)
+	}
+}
+
 // beginHandshake registers a connection in its handshake. It returns false if there are too many.
 func (s *Server) beginHandshake(n net.Conn) bool {
 	s.mu.Lock()
