--- a/caller/conn.go
+++ b/caller/conn.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -18,7 +19,11 @@
 // a caller that does read would be disconnected when its request finished just before the deadline.
 const answerWriteGrace = time.Second
 
-// ErrDraining reports that the proxy is shutting down and the caller was idle.
+// lastReadTimeout is how long a session that a shutdown ends waits for a batch that has arrived or is about to.
+const lastReadTimeout = 5 * time.Millisecond
+
+// ErrDraining reports that the proxy is shutting down and the caller was idle, or that the time for the shutdown is over. In
+// the latter case it is also the cause of the end of the context that Handler.Serve was called with.
 const ErrDraining = errors.ConstError("the proxy is shutting down")
 
 // ErrIdleTimeout reports that the caller was idle for longer than allowed.
@@ -27,7 +32,7 @@
 // ErrBatchTimeout reports that the rest of a batch was not received within Server.BatchTimeout.
 const ErrBatchTimeout = errors.ConstError("the rest of the request did not come in time")
 
-// Conn is a caller's connection. It is used by one goroutine; only drain may be called by others.
+// Conn is a caller's connection. It is used by one goroutine; only drain and end may be called by others.
 type Conn struct {
 	// Startup has the parameters of the caller's start-up message.
 	Startup Startup
@@ -76,13 +81,15 @@
 	b := pgproto3.NewBackend(r, n)
 	// The caller is not authenticated yet, so only small messages are read.
 	b.SetMaxBodyLen(maxPacketBytes)
-	return &Conn{
+	c := &Conn{
 		netConn:       n,
 		backend:       b,
 		reader:        r,
 		maxBatchBytes: maxBatchBytes,
 		prepared:      make(map[string]egret.NamedStatement),
 	}
+	r.flush = c.Flush
+	return c
 }
 
 // Write buffers encoded messages. At flushThresholdBytes it flushes the buffer, which blocks while the caller is slow
@@ -137,7 +144,7 @@
 // Flush writes the buffered output. It fails if the caller doesn't read it in time, so that a caller that reads nothing
 // doesn't keep a member's connection in use.
 func (c *Conn) Flush() error {
-	if c.writeErr != nil {
+	if c.writeErr != nil || len(c.output) == 0 {
 		return c.writeErr
 	}
 	if c.writeTimeout > 0 {
@@ -170,18 +177,25 @@
 	return d
 }
 
-// Draining reports whether the session should end as soon as no transaction is open.
-func (c *Conn) Draining() bool {
-	c.reader.mu.Lock()
-	defer c.reader.mu.Unlock()
-	return c.reader.draining
-}
-
-// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones.
+// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones, unless a
+// batch has arrived.
 func (c *Conn) drain() {
 	c.reader.drain()
 }
 
+// end makes all reads fail with ErrDraining, the current one and later ones.
+func (c *Conn) end() {
+	c.reader.end()
+}
+
+// endOutput tells the caller that nothing follows, so that an encrypted connection doesn't look cut off.
+func (c *Conn) endOutput() {
+	if t, encrypted := c.netConn.(*tls.Conn); encrypted && c.writeErr == nil {
+		// The caller may be disconnected already.
+		_ = t.CloseWrite()
+	}
+}
+
 // send encodes a message into the output.
 func (c *Conn) send(m pgproto3.BackendMessage) {
 	out, err := m.Encode(c.output)
@@ -198,6 +212,9 @@
 	// netConn is the caller's connection.
 	netConn net.Conn
 
+	// flush sends the output that is buffered.
+	flush func() error
+
 	mu sync.Mutex
 
 	// idle reports whether the reader waits for the first byte of a batch.
@@ -206,8 +223,8 @@
 	// inTransaction reports whether a transaction is open. drain doesn't interrupt the wait then.
 	inTransaction bool
 
-	// draining reports whether the proxy is shutting down.
-	draining bool
+	// draining reports whether the proxy is shutting down, and ending whether the time for that is over.
+	draining, ending bool
 
 	// idleDeadline is the deadline of the wait. Zero sets none. In a transaction it is the deadline for the whole
 	// batch.
@@ -226,24 +243,53 @@
 	r.idleDeadline = idleDeadline
 }
 
-// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones.
+// drain makes waits for the first byte of a batch fail outside of a transaction, the current one and later ones, unless a
+// batch has arrived.
 func (r *batchReader) drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.draining = true
-	if r.idle && !r.inTransaction {
+	if r.endsWait() {
 		// If this fails, the connection is closed and the read fails too.
 		_ = r.netConn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// end makes all reads fail, the current one and later ones.
+func (r *batchReader) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ending = true
+	// If this fails, the connection is closed and the read fails too.
+	_ = r.netConn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // Read reads from the connection. On a timeout it returns ErrDraining or ErrIdleTimeout if the caller is idle. Within a
-// batch it returns ErrIdleTimeout if a transaction is open, or else ErrBatchTimeout.
+// batch it returns ErrIdleTimeout if a transaction is open, or else ErrBatchTimeout. Once end was called, it returns
+// ErrDraining.
 func (r *batchReader) Read(b []byte) (int, error) {
+	if !r.isEnding() {
+		if err := r.flush(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := r.read(b)
+	if err != nil {
+		return n, err
+	}
+	// The caller may wait for this output before it sends the rest of the batch.
+	return n, r.flush()
+}
+
+// read is Read without the output.
+func (r *batchReader) read(b []byte) (int, error) {
 	if err := r.setDeadline(); err != nil {
 		return 0, err
 	}
 	n, err := r.netConn.Read(b)
+	if isTimeout(err) && r.beginLastRead() {
+		n, err = r.netConn.Read(b)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n > 0 {
@@ -253,7 +299,7 @@
 		return n, err
 	}
 	switch {
-	case r.idle && r.draining && !r.inTransaction:
+	case r.ending, r.endsWait():
 		return 0, ErrDraining
 	case r.idle || r.inTransaction:
 		return 0, ErrIdleTimeout
@@ -262,6 +308,29 @@
 	}
 }
 
+// isEnding reports whether the session ends unless a batch has arrived.
+func (r *batchReader) isEnding() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ending || r.endsWait()
+}
+
+// endsWait reports whether the shutdown ends the wait for a batch. The caller holds mu.
+func (r *batchReader) endsWait() bool {
+	return r.idle && r.draining && !r.inTransaction
+}
+
+// beginLastRead prepares a read after a wait that the shutdown has ended, or returns false: a read whose deadline is over fails
+// also if a batch has arrived.
+func (r *batchReader) beginLastRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ending || !r.endsWait() {
+		return false
+	}
+	return r.netConn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
+}
+
 // beginBatch records that the first bytes of a batch were received: a shutdown doesn't interrupt the rest of it. The
 // caller holds mu.
 func (r *batchReader) beginBatch() error {
@@ -269,21 +338,24 @@
 		return nil
 	}
 	r.idle = false
-	if r.inTransaction {
+	if r.inTransaction || r.ending {
 		return nil
 	}
 	return r.netConn.SetReadDeadline(time.Now().Add(r.batchTimeout))
 }
 
-// setDeadline sets the read deadline of the wait for a batch, or returns ErrDraining.
+// setDeadline sets the read deadline of the wait for a batch, or returns ErrDraining once end was called.
 func (r *batchReader) setDeadline() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ending {
+		return ErrDraining
+	}
 	if !r.idle {
 		return nil
 	}
-	if r.draining && !r.inTransaction {
-		return ErrDraining
+	if r.endsWait() {
+		return r.netConn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return r.netConn.SetReadDeadline(r.idleDeadline)
 }
