egretlane: test that a shutdown ends the exchanges of its own lanes

Suspected: the end of all statements cancels the context of the sessions, which an exchange with a member doesn't follow; its deadline was set before the shutdown. Refuted for this code: the lanes are closed before, as the services are released, and closing a lane closes its connections.

--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -458,3 +458,156 @@
 	}
 	await(t, "end of the process", ended, testGrace)
 }
+
+// stuckDialer opens connections to a primary that runs statements without answering them. It implements egret.BackendDialer.
+type stuckDialer struct {
+	// started is called when a statement is sent.
+	started func()
+}
+
+func (d *stuckDialer) Dial(context.Context, egret.Backend) (egret.BackendConn, error) {
+	return &stuckConn{
+		dialer: d,
+		closed: make(chan struct{}),
+	}, nil
+}
+
+func (d *stuckDialer) Reachable(context.Context, egret.Backend) error { return nil }
+
+type stuckConn struct {
+	dialer *stuckDialer
+	once   sync.Once
+	closed chan struct{}
+}
+
+var stuckPosition = egret.Position{
+	Term:   1,
+	Offset: 1,
+}
+
+func (c *stuckConn) InitialPosition() egret.Position { return stuckPosition }
+func (c *stuckConn) RoundTrip() time.Duration        { return time.Millisecond }
+func (c *stuckConn) Close()                          { c.once.Do(func() { close(c.closed) }) }
+
+func (c *stuckConn) Status(time.Time) (egret.BackendStatus, error) {
+	return egret.BackendStatus{
+		Role:     egret.RolePrimary,
+		Term:     1,
+		Received: stuckPosition,
+	}, nil
+}
+
+func (c *stuckConn) Exchange(deadline time.Time, commands []egret.Command) ([]egret.Answer, error) {
+	answers := []egret.Answer{}
+	for _, k := range commands {
+		if k.Kind == egret.CommandStatement {
+			c.dialer.started()
+			select {
+			case <-c.closed:
+				return answers, net.ErrClosed
+			case <-time.After(time.Until(deadline)):
+				return answers, context.DeadlineExceeded
+			}
+		}
+		a := egret.Answer{
+			Signature: "m",
+			Status:    egret.TxIdle,
+			Position:  stuckPosition,
+		}
+		if k.Kind == egret.CommandBegin || k.Kind == egret.CommandBeginRead {
+			a.Status = egret.TxOpen
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+// TestShutdownEndsExchanges guards against a statement that waits for a member's answer for longer than its process runs, since
+// its time was set before the shutdown and nothing ends the exchange.
+func TestShutdownEndsExchanges(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		verb, begin egret.Verb
+		fault       egret.FaultKind
+	}{
+		"read": {
+			verb:  egret.VerbRead,
+			fault: egret.FaultTimeout,
+		},
+		"write": {
+			verb:  egret.VerbWrite,
+			fault: egret.FaultInDoubt,
+		},
+		"transaction": {
+			verb:  egret.VerbWrite,
+			begin: egret.VerbBegin,
+			fault: egret.FaultAborted,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestStore()
+			s.release(t, "s")
+			n := newTestNode(s, "s")
+			started := make(chan struct{})
+			dialer := &stuckDialer{
+				started: sync.OnceFunc(func() { close(started) }),
+			}
+			n.fleet.StartLane = func(l *lease.Lease) *group.Lane { return startStuckLane(t, l, dialer) }
+			runFleet(t, n)
+			awaitLane(t, n, "s")
+			sessions, endSessions := context.WithCancel(t.Context())
+			answered := make(chan egret.Answer, 1)
+			go func() {
+				answered <- n.fleet.CallerStream().Do(sessions, egret.StatementRequest{
+					Service: "s",
+					Query: egret.Query{
+						ID:   "1",
+						Verb: c.verb,
+						Text: "X a",
+					},
+					Writes:      c.verb == egret.VerbWrite,
+					Begin:       c.begin,
+					Consistency: egret.ConsistencyPrimary,
+					Timeout:     time.Minute,
+					IdleTimeout: time.Minute,
+				})
+			}()
+			await(t, "statement on the member", started, 5*time.Second)
+			ended := startShutDown(t, n, listen(t))
+			time.AfterFunc(testGrace-exitReserve-answerReserve, endSessions)
+			select {
+			case a := <-answered:
+				if a.Fault.Kind != c.fault {
+					t.Errorf("the caller gets %+v, want the fault %s", a.Fault, c.fault)
+				}
+			case <-time.After(testGrace - exitReserve):
+				t.Error("the statement has no answer when the process ends")
+			}
+			await(t, "end of the process", ended, testGrace)
+		})
+	}
+}
+
+// startStuckLane runs a lane with one member, which is its primary.
+func startStuckLane(t *testing.T, l *lease.Lease, d *stuckDialer) *group.Lane {
+	lane := &group.Lane{
+		Service: l.Service,
+		Lease:   l,
+		Dialer:  d,
+	}
+	lane.Init()
+	lane.Configure(&egret.Pool{
+		Name:        l.Service,
+		Connections: 16,
+	})
+	lane.SetMembers([]egret.Backend{{
+		ID:      "m",
+		Service: l.Service,
+		Address: closedAddress,
+		Slots:   2,
+		Role:    egret.RolePrimary,
+	}})
+	go func() { _ = lane.Run(t.Context()) }()
+	return lane
+}
