caller: a shutdown limits handshakes that begin after it

Cause: the shutdown limits handshakes to 1 s, but a handshake set its own deadline of 10 s when its goroutine ran, which may be after that. Now the deadline is set where the handshake is registered, under the lock, according to the state of the shutdown.

--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -112,3 +112,27 @@
 	c.reader.batchTimeout = time.Second
 	return c
 }
+
+// TestDrainLimitsHandshakes guards against shutdowns that wait for a silent caller for the whole time of a handshake: one whose
+// connection was accepted just before the listener was closed.
+func TestDrainLimitsHandshakes(t *testing.T) {
+	ts := startServer(t, nil)
+	s := ts.server
+	server, client := connectedPair(t)
+	s.startDrain()
+	served := make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(served)
+		s.serve(t.Context(), server)
+	}()
+	f := pgproto3.NewFrontend(client, client)
+	if e := expect[*pgproto3.ErrorResponse](t, f); e.Code != "08P01" {
+		t.Errorf("SQLSTATE %s, want 08P01", e.Code)
+	}
+	if took := time.Since(began); took > 2*drainHandshakeTimeout {
+		t.Errorf("the handshake took %v, want %v", took, drainHandshakeTimeout)
+	}
+	client.Close()
+	<-served
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -228,8 +228,7 @@
 		c.drain()
 	}
 	for n := range s.handshaking {
-		// If this fails, the connection is closed already.
-		_ = n.SetDeadline(time.Now().Add(drainHandshakeTimeout))
+		s.limitHandshake(n)
 	}
 }
 
@@ -286,7 +285,7 @@
 	}
 }
 
-// beginHandshake registers a connection in its handshake. It returns false if there are too many.
+// beginHandshake registers a connection in its handshake and sets the deadline of the handshake. It returns false if there are too many.
 func (s *Server) beginHandshake(n net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -297,9 +296,20 @@
 		s.handshaking = make(map[net.Conn]struct{})
 	}
 	s.handshaking[n] = struct{}{}
+	s.limitHandshake(n)
 	return true
 }
 
+// limitHandshake sets the deadline of a handshake. The caller holds mu, so that the deadline of the shutdown comes last.
+func (s *Server) limitHandshake(n net.Conn) {
+	timeout := cmp.Or(s.HandshakeTimeout, defaultHandshakeTimeout)
+	if s.draining {
+		timeout = min(timeout, drainHandshakeTimeout)
+	}
+	// If this fails, the connection is closed already.
+	_ = n.SetDeadline(time.Now().Add(timeout))
+}
+
 func (s *Server) endHandshake(n net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -334,10 +344,6 @@
 	s.Metrics.Open.Set(float64(len(s.conns)))
 }
 
-func (s *Server) handshakeTimeout() time.Duration {
-	return cmp.Or(s.HandshakeTimeout, defaultHandshakeTimeout)
-}
-
 func (s *Server) newConn(n net.Conn) *Conn {
 	c := newConn(n, s.MaxBatchBytes)
 	c.reader.batchTimeout = cmp.Or(s.BatchTimeout, defaultBatchTimeout)
--- a/caller/start.go
+++ b/caller/start.go
@@ -70,9 +70,6 @@
 // handshake processes start-up packets up to the start-up message. It returns a connection that is ready for queries,
 // or nil after a cancel request.
 func (s *Server) handshake(ctx context.Context, n net.Conn) (*Conn, error) {
-	if err := n.SetDeadline(time.Now().Add(s.handshakeTimeout())); err != nil {
-		return nil, errors.Trace(err)
-	}
 	c := s.newConn(n)
 	for {
 		m, err := readPacket(c.netConn)
