soak: a statement that its proxy has never read isn't lost

The rule asks for a request that a process has read as a whole. A proxy logs each statement that it has read and doesn't answer, so that the check can tell: statements that no member ran count if their proxy has such a line, or was killed since it had not ended within its grace. What members ran counts as before.

--- a/egretlab/soak/proxy.go
+++ b/egretlab/soak/proxy.go
@@ -72,6 +72,9 @@
 	stopRequested time.Time
 	probeFailures int
 
+	// killed is set once a process was killed as it had not exited within its grace.
+	killed bool
+
 	// lastStopRequested is like stopRequested, but stays after the process was restarted.
 	lastStopRequested time.Time
 
@@ -162,8 +165,12 @@
 	p.mu.Unlock()
 	p.signal(syscall.SIGTERM)
 	time.AfterFunc(shutdownGrace, func() {
-		// This kills the process that got the SIGTERM, not a successor.
-		_ = cmd.Process.Kill()
+		// This kills the process that got the SIGTERM, not a successor. It fails if that has exited.
+		if cmd.Process.Kill() == nil {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.killed = true
+		}
 	})
 }
 
@@ -229,6 +236,19 @@
 	}
 }
 
+// wasKilled reports whether a process was killed as it had not exited within its grace.
+func (p *proxy) wasKilled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed
+}
+
+// logHas reports whether the log contains the text.
+func (p *proxy) logHas(text string) (bool, error) {
+	data, err := os.ReadFile(p.logFile())
+	return strings.Contains(string(data), text), errors.Trace(err)
+}
+
 // crashLines returns the lines of the log that report a panic, a fatal error or a data race.
 func (p *proxy) crashLines() []string {
 	data, err := os.ReadFile(p.logFile())
--- a/egretlab/soak/soak.go
+++ b/egretlab/soak/soak.go
@@ -35,8 +35,7 @@
 	// settleTime is how long no fault may have been active before guarantees with a time limit are checked.
 	settleTime = 4 * time.Second
 
-	// A request that no member ran may go unanswered if its connection ends within closeRaceMargin of its sending, as
-	// the request and the close can cross on the network.
+	// A request that no member ran may go unanswered if its connection ends within closeRaceMargin of its sending.
 	closeRaceMargin = 200 * time.Millisecond
 
 	// executionReportDelay is how long after the end of a connection a member may report the statement that it ran.
@@ -77,6 +76,7 @@
 	mu              sync.Mutex
 	config          config
 	extraRoutes     []route
+	candidates      []unreadCandidate
 	activeFaults    int
 	lastFaultChange time.Time
 
@@ -173,6 +173,7 @@
 		synchronous[g.Service] = g.SyncReplicas > 0
 	}
 	s.ledger.CheckLogs(logs, synchronous)
+	s.checkCandidates()
 	for i := range s.Services {
 		s.mu.Lock()
 		served, total := s.afterFaults[serviceName(i)][0], s.afterFaults[serviceName(i)][1]
@@ -265,6 +266,13 @@
 	s.afterFaults[service] = counts
 }
 
+// unreadCandidate is a statement without an answer that no member ran. It is a violation unless the proxy has never read it.
+type unreadCandidate struct {
+	id     string
+	proxy  *proxy
+	detail string
+}
+
 // checkUnanswered checks a statement whose connection ended without an answer. Unless a fault has been active, or the
 // statement's time was over, it is a violation. A statement that a member has still run in the last sixth of the grace of a
 // proxy that was told to stop may be lost if it was sent at the beginning of the grace.
@@ -277,14 +285,39 @@
 	// Members report a statement when it ends.
 	time.Sleep(executionReportDelay)
 	ranAt := s.ledger.RanAt(id)
-	if ranAt.IsZero() && ended.Sub(sent) < closeRaceMargin {
-		return
+	detail := fmt.Sprintf("%s %q, sent %s and ended %s after the SIGTERM of %s, run by a member: %t, got no answer: %v",
+		id, text, sent.Sub(stopped), ended.Sub(stopped), c.proxy.name, !ranAt.IsZero(), cause)
+	switch {
+	case ranAt.IsZero() && ended.Sub(sent) < closeRaceMargin:
+	case ranAt.IsZero():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.candidates = append(s.candidates, unreadCandidate{
+			id:     id,
+			proxy:  c.proxy,
+			detail: detail,
+		})
+	case !stopped.IsZero() && sent.Sub(stopped) <= shutdownGrace/2 && ranAt.Sub(stopped) > shutdownGrace*5/6:
+	default:
+		s.ledger.RecordViolation("LOST", detail)
 	}
-	if !stopped.IsZero() && sent.Sub(stopped) <= shutdownGrace/2 && ranAt.Sub(stopped) > shutdownGrace*5/6 {
-		return
+}
+
+// checkCandidates records those statements that their proxy has read. A proxy logs each statement that it has read and doesn't
+// answer, unless it is killed.
+func (s *Soak) checkCandidates() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.candidates {
+		switch read, err := c.proxy.logHas(`"statement-unanswered","request":"` + c.id + `"`); {
+		case err != nil:
+			s.ledger.RecordViolation("SOAK", err.Error())
+		case read || c.proxy.wasKilled():
+			s.ledger.RecordViolation("LOST", c.detail)
+		default:
+			s.logf("never read: %s", c.detail)
+		}
 	}
-	s.ledger.RecordViolation("LOST", fmt.Sprintf("%s %q, sent %s and ended %s after the SIGTERM of %s, run by a member: %t, got no answer: %v",
-		id, text, sent.Sub(stopped), ended.Sub(stopped), c.proxy.name, !ranAt.IsZero(), cause))
 }
 
 // faultFreeSince reports whether no fault has been active since a time.
