egretlane: SIGHUP kills no proxy

A SIGHUP ended a PostgreSQL proxy at once, and with it all requests of its callers. It also ended a fleet process that was starting.

Cause: the PostgreSQL proxy had no handler, and the default action of SIGHUP is to end the process. The fleet command registered its handler in the goroutine that rereads the settings, once all components were made. Now both commands register it before anything else; the PostgreSQL proxy, which has nothing to reread, logs a warning.

TestSignalsInSeries passes the channel that reloadSettings made itself before; what it demands is unchanged. A signal in the milliseconds before main runs still ends the process.

--- a/egretlane/fleet_command.go
+++ b/egretlane/fleet_command.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -52,6 +50,7 @@
 
 // serveFleet runs the proxy until a signal stops it.
 func serveFleet(ctx context.Context, path string) error {
+	hup := hangups()
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
 	s, err := config.Load(path)
 	if err != nil {
@@ -93,7 +92,7 @@
 	ctx = withStopSignals(ctx, func(s os.Signal) {
 		eventLog.Event("signal-ignored").Str("signal", s.String()).Msg("signal ignored: a shutdown is already in progress")
 	})
-	go reloadSettings(ctx, path, s, eventLog)
+	go reloadSettings(ctx, hup, path, s, eventLog)
 	if err := n.run(ctx); err != nil {
 		return fmt.Errorf("node %s: %w", s.Node, err)
 	}
@@ -103,12 +102,9 @@
 // settingsReloadInterval is how often the settings file is reloaded, as it may change without a SIGHUP.
 const settingsReloadInterval = 5 * time.Second
 
-// reloadSettings reloads the settings file on SIGHUP and at regular intervals, and applies the log rate. An invalid
+// reloadSettings reloads the settings file on each signal of hup and at regular intervals, and applies the log rate. An invalid
 // file changes nothing.
-func reloadSettings(ctx context.Context, path string, s *config.Settings, eventLog *evlog.Log) {
-	hup := make(chan os.Signal, 1)
-	// The handler stays registered during the shutdown, as an unhandled SIGHUP would kill the process.
-	signal.Notify(hup, syscall.SIGHUP)
+func reloadSettings(ctx context.Context, hup <-chan os.Signal, path string, s *config.Settings, eventLog *evlog.Log) {
 	tick := time.NewTicker(settingsReloadInterval)
 	defer tick.Stop()
 	rate := s.LogRate
--- a/egretlane/main.go
+++ b/egretlane/main.go
@@ -35,6 +35,7 @@
 
 // serve runs the proxy until a signal stops it.
 func serve(ctx context.Context, s *flagValues) error {
+	hup := hangups()
 	// gRPC would write log lines in a format of its own. The failures that they report are counted in metrics.
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
 	c, err := s.config()
@@ -48,5 +49,10 @@
 	ctx = withStopSignals(ctx, func(s os.Signal) {
 		log.Warn().Str("signal", s.String()).Msg("signal ignored: a shutdown is already in progress")
 	})
+	go func() {
+		for range hup {
+			log.Warn().Msg("signal ignored: settings are read at the start only")
+		}
+	}()
 	return p.run(ctx)
 }
--- a/egretlane/signals_test.go
+++ b/egretlane/signals_test.go
@@ -15,11 +15,12 @@
 // handled.
 func TestSignalsInSeries(t *testing.T) {
 	repeated := make(chan os.Signal, 1)
+	hup := hangups()
 	ctx := withStopSignals(t.Context(), func(s os.Signal) { repeated <- s })
 	reloadDone := make(chan struct{})
 	go func() {
 		defer close(reloadDone)
-		reloadSettings(ctx, "nowhere", &config.Settings{}, &evlog.Log{})
+		reloadSettings(ctx, hup, "nowhere", &config.Settings{}, &evlog.Log{})
 	}()
 	time.Sleep(50 * time.Millisecond)
 	send(t, syscall.SIGTERM)
