caller: each accepted connection is served, and a shutdown waits for it

Cause: Run dropped a connection, without closing it, if its context had ended when Accept returned. And Drain didn't wait for the goroutine that accepts, so a connection could be added after Drain had found none. Now Run ends only when the listener is closed, each accepted connection is served, and Drain closes the listener and waits for the accepting goroutine as well.

TestLastConnectionIsServed failed before (no answer within 10 s), TestDrainEndsAccepting too (a connection was accepted after Drain had returned).

--- a/caller/drain_test.go
+++ b/caller/drain_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"testing"
@@ -113,6 +114,54 @@
 	return c
 }
 
+// lastListener is a listener that accepts one connection while it is being closed.
+type lastListener struct {
+	net.Listener
+	conn net.Conn
+
+	// close ends the accepting.
+	close func()
+}
+
+func (l *lastListener) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return l.Listener.Accept()
+	}
+	c := l.conn
+	l.conn = nil
+	l.close()
+	return c, nil
+}
+
+// TestLastConnectionIsServed guards against callers that wait for the end of the process, as their connection was accepted just as
+// the listener was closed and is neither served nor closed.
+func TestLastConnectionIsServed(t *testing.T) {
+	ts := startServer(t, nil)
+	server, client := connectedPair(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ts.server.accept(ctx, &lastListener{
+		Listener: l,
+		conn:     server,
+		close:    stop,
+	})
+	f := pgproto3.NewFrontend(client, client)
+	f.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user": user,
+		},
+	})
+	if err := f.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	expect[*pgproto3.ReadyForQuery](t, f)
+	client.Close()
+}
+
 // TestDrainLimitsHandshakes guards against shutdowns that wait for a silent caller for the whole time of a handshake: one whose
 // connection was accepted just before the listener was closed.
 func TestDrainLimitsHandshakes(t *testing.T) {
@@ -136,3 +185,18 @@
 	client.Close()
 	<-served
 }
+
+// TestDrainEndsAccepting guards against connections that are accepted after Drain has returned, so that the process ends while they
+// are served.
+func TestDrainEndsAccepting(t *testing.T) {
+	ts := startServer(t, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := ts.server.Drain(ctx); err != nil {
+		t.Errorf("Drain() = %v", err)
+	}
+	if n, err := net.Dial("tcp", ts.server.ListenAddress.String()); err == nil {
+		n.Close()
+		t.Error("a connection was accepted after the shutdown")
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -117,10 +117,11 @@
 	// the time for that is over: requests and transactions are ended as well.
 	draining, ending bool
 
-	// endRequests ends the context of all sessions. Run sets it.
+	// listener accepts connections, and endRequests ends the context of all sessions. Run sets both.
+	listener    net.Listener
 	endRequests context.CancelCauseFunc
 
-	// goroutines tracks the goroutines of connections.
+	// goroutines tracks the goroutines of connections and the one that accepts them.
 	goroutines sync.WaitGroup
 }
 
@@ -156,38 +157,57 @@
 	return m
 }
 
-// Run accepts connections until the context is canceled. Open connections are not closed then; Drain closes them.
+// Run accepts connections until the context is canceled or Drain is called. Open connections are not closed when the context is
+// canceled; Drain closes them.
 func (s *Server) Run(ctx context.Context) error {
 	l, err := net.Listen("tcp", s.ListenAddress.String())
 	if err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
+	s.accept(ctx, l)
+	return nil
+}
+
+// accept serves the connections of a listener until the context is canceled or the server shuts down.
+func (s *Server) accept(ctx context.Context, l net.Listener) {
+	// Drain waits for this goroutine too, so that no connection is accepted after Drain has returned.
+	s.goroutines.Add(1)
+	defer s.goroutines.Done()
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.Close()
 	})
 	defer stop()
 	serving, end := context.WithCancelCause(context.WithoutCancel(ctx))
-	s.setEndRequests(end)
+	s.beginAccepting(l, end)
 	for {
 		n, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
+		switch {
+		case err == nil:
+			s.Metrics.Accepted.Inc()
+			s.goroutines.Go(func() {
+				s.serve(serving, n)
+			})
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
 			// Possible causes are a lack of file descriptors and a peer that has disconnected. Retry after a short delay.
 			time.Sleep(10 * time.Millisecond)
-			continue
 		}
-		s.Metrics.Accepted.Inc()
-		s.goroutines.Go(func() {
-			s.serve(serving, n)
-		})
 	}
 }
 
-// Drain ends idle sessions at once, and the others once they have no open transaction. Shortly before the context ends, it
-// ends all requests, which are answered, and all open transactions. It returns when all connections are closed. When the
-// context ends first, as callers don't read their answers, it closes the remaining connections and returns an error.
+// beginAccepting records what a shutdown needs: the listener, and end, which ends the context of all sessions.
+func (s *Server) beginAccepting(l net.Listener, end context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
+	s.endRequests = end
+}
+
+// Drain stops accepting and ends idle sessions at once, and the others once they have no open transaction. Shortly before the
+// context ends, it ends all requests, which are answered, and all open transactions. It returns when all connections are
+// closed. When the context ends first, as callers don't read their answers, it closes the remaining connections and returns an
+// error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.startDrain()
 	done := make(chan struct{})
@@ -224,6 +244,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
 	for c := range s.conns {
 		c.drain()
 	}
@@ -232,12 +255,6 @@
 	}
 }
 
-func (s *Server) setEndRequests(end context.CancelCauseFunc) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endRequests = end
-}
-
 // endSessions makes each session end its request and its transaction.
 func (s *Server) endSessions() {
 	s.mu.Lock()
