--- a/egretlab/soak/run_test.go
+++ b/egretlab/soak/run_test.go
@@ -24,14 +24,26 @@
 		{seed: 13, cause: "two holders of a service after the store came back from an older copy"},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
-			runPlan(t, program, NewPlan(c.seed, 30*time.Second), c.cause)
+			runPlan(t, c.cause, &Soak{
+				Program:  program,
+				Plan:     NewPlan(c.seed, 30*time.Second),
+				Proxies:  5,
+				Services: 2,
+				Callers:  3,
+			})
 		})
 	}
 }
 
 // TestRollingRestarts guards against requests that end without an answer while proxies are stopped one after the other.
 func TestRollingRestarts(t *testing.T) {
-	runPlan(t, buildProxy(t), NewRollingPlan(1, 45*time.Second), "statements that were outstanding when their proxy ended")
+	runPlan(t, "statements that were outstanding when their proxy ended", &Soak{
+		Program:  buildProxy(t),
+		Plan:     NewRollingPlan(33, 45*time.Second),
+		Proxies:  8,
+		Services: 3,
+		Callers:  8,
+	})
 }
 
 // buildProxy builds the proxy with the race detector, and returns the path of its program.
@@ -46,22 +58,15 @@
 	return program
 }
 
-// runPlan runs the plan, and fails the test for each violation.
-func runPlan(t *testing.T, program string, p *Plan, cause string) {
+// runPlan runs the soak, and fails the test for each violation. cause says what the plan guards against.
+func runPlan(t *testing.T, cause string, s *Soak) {
 	t.Helper()
 	folder, err := os.MkdirTemp("", "egret-soak-")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Soak{
-		Program:  program,
-		Folder:   folder,
-		Plan:     p,
-		Proxies:  5,
-		Services: 2,
-		Callers:  3,
-		Log:      t.Logf,
-	}
+	s.Folder = folder
+	s.Log = t.Logf
 	r, err := s.Run(t.Context())
 	if err != nil {
 		t.Fatal(err)
