lane: Drain ends batches in time for their answers

Callers of other proxies got "outcome unknown" for a statement that ran on a lane of a proxy that stopped, when it outlasted the shutdown: the process ended under it, so nobody learned what became of it, and the member was not always told to cancel it.

Cause: Drain only waited for the lanes to become free. When its context ended, the connections were closed.

--- a/lane/manager.go
+++ b/lane/manager.go
@@ -23,6 +23,10 @@
 	// others and would otherwise open the lanes of all members.
 	settleDelay = 300 * time.Millisecond
 
+	// endReserve is how long before the end of its context Drain ends all batches, at most: a member has
+	// cancelledReplyTimeout to answer, and the answer must reach the caller's proxy.
+	endReserve = 2*cancelledReplyTimeout + 500*time.Millisecond
+
 	// closeTimeout bounds the wait for the lanes' goroutines when Run ends.
 	closeTimeout = 2 * time.Second
 )
@@ -53,6 +57,10 @@
 	// Log receives a line for each change of a lane's or member's state. It may be nil.
 	Log *log.Logger
 
+	// batches ends all batches when endBatches is called. Run sets both before there are lanes.
+	batches    context.Context
+	endBatches context.CancelFunc
+
 	// mu guards the fields below.
 	mu sync.Mutex
 
@@ -96,6 +104,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	m.mu.Lock()
+	m.batches, m.endBatches = context.WithCancel(context.Background())
 	m.ctx = ctx
 	m.lanes = map[string]*lane{}
 	m.mu.Unlock()
@@ -145,8 +154,13 @@
 }
 
 // Drain waits until no lane is left. The proxy must have announced to its peers that it leaves, so
-// that it is assigned no lanes.
+// that it is assigned no lanes. Shortly before ctx ends, it ends all batches, which are answered.
 func (m *Manager) Drain(ctx context.Context) error {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		left := time.Until(deadline)
+		timer := time.AfterFunc(left-min(endReserve, left/2), m.end)
+		defer timer.Stop()
+	}
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	for {
@@ -164,6 +178,15 @@
 	}
 }
 
+// end ends all batches.
+func (m *Manager) end() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.endBatches != nil {
+		m.endBatches()
+	}
+}
+
 // lane returns the lane of the member, or nil if this proxy doesn't hold it. A lane that is
 // assigned to this proxy but not open yet is opened.
 func (m *Manager) lane(name string) *lane {
--- a/lane/transact.go
+++ b/lane/transact.go
@@ -59,6 +59,7 @@
 	defer t.lane.endBatch()
 	ctx, cancel := t.withBudget(ctx)
 	defer cancel()
+	defer context.AfterFunc(t.lane.manager.batches, cancel)()
 	ctx, span := tracer.Start(ctx, "lane.exchange")
 	defer span.End()
 	span.SetAttributes(attribute.String("member", t.options.Member), attribute.String("class", string(t.options.Class)))
