egretlane: callers don't use up the grace period of lanes

Callers of other proxies got "outcome unknown" for a statement on a lane of a proxy that stopped if a caller of that proxy didn't read its answer: the statement was cut as soon as the grace period was over.

Cause: callers, lanes and other proxies' streams shared one context, one after the other. When the first had used it up, the lanes had no time to end their statements.

The insertion of rows in checkLargeResult is a function of its own now, which the test shares.

--- a/egretlab/front/drivers_test.go
+++ b/egretlab/front/drivers_test.go
@@ -384,12 +384,13 @@
 	}
 }
 
-// checkLargeResult checks that a large result arrives whole and in order.
-func checkLargeResult(t *testing.T, s *set) {
-	ctx := stepContext(t)
+// insertLargeResult inserts the rows of the large result, on the primary.
+func (s *set) insertLargeResult() {
+	s.t.Helper()
+	ctx := stepContext(s.t)
 	direct, err := pgconn.Connect(ctx, fmt.Sprintf("host=127.0.0.1 port=%d user=%s dbname=%s sslmode=disable", s.memberAddresses[0].Port(), user, database))
 	if err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
 	defer direct.Close(ctx)
 	const rowsPerInsert = 10_000
@@ -399,9 +400,15 @@
 			values[i] = fmt.Sprintf("('row-%06d', 'sieve')", first+i)
 		}
 		if _, err := direct.Exec(ctx, "INSERT INTO orders (id, item) VALUES "+strings.Join(values, ", ")).ReadAll(); err != nil {
-			t.Fatal(err)
+			s.t.Fatal(err)
 		}
 	}
+}
+
+// checkLargeResult checks that a large result arrives whole and in order.
+func checkLargeResult(t *testing.T, s *set) {
+	ctx := stepContext(t)
+	s.insertLargeResult()
 	conn := s.connect(1, "")
 	rows, err := conn.Query(ctx, "SELECT id, item FROM orders ORDER BY id")
 	if err != nil {
--- a/egretlane/proxy.go
+++ b/egretlane/proxy.go
@@ -28,6 +28,10 @@
 // export of the last spans.
 const shutdownStepTimeout = 2 * time.Second
 
+// lanesReserve is how much of the shutdown's grace period is kept, at most, for statements that other proxies run on this proxy's
+// lanes. Callers that don't read their answers can't use it up.
+const lanesReserve = 2 * time.Second
+
 // Proxy is a proxy process with all its components.
 type Proxy struct {
 	config         *Config
@@ -147,7 +151,9 @@
 	stopAccepting()
 	grace, stop := context.WithTimeout(context.Background(), p.config.ShutdownGrace)
 	defer stop()
-	if err := p.callerServer.Drain(grace); err != nil {
+	callers, stopCallers := context.WithTimeout(grace, p.config.ShutdownGrace-min(lanesReserve, p.config.ShutdownGrace/4))
+	defer stopCallers()
+	if err := p.callerServer.Drain(callers); err != nil {
 		p.logger.Warn().Err(err).Msg("shutdown grace period expired; remaining caller connections were closed")
 	}
 	if err := p.laneManager.Drain(grace); err != nil {
