egretlane: test that a service is kept until another process can take it

TestShutdownReleasesKeptServices only demanded that it is released in the end. It now also demands that it is kept until then, which holds on this code.

--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -270,7 +270,8 @@
 }
 
 // TestShutdownReleasesKeptServices guards against a process that ends with a service that it kept since no other process could
-// take it. Until its lease expires, the service has no holder, and statements of other processes wait for one.
+// take it, or that gives it up at once. Until its lease expires, or another process has started, the service has no holder, and
+// statements of other processes wait for one.
 func TestShutdownReleasesKeptServices(t *testing.T) {
 	t.Parallel()
 	s := newTestStore()
@@ -278,7 +279,12 @@
 	n := newTestNode(s, "s")
 	runFleet(t, n)
 	awaitLane(t, n, "s")
-	await(t, "end of the process", startShutDown(t, n, listen(t)), testGrace)
+	ended := startShutDown(t, n, listen(t))
+	time.Sleep(unreadyDelay)
+	if l := n.fleet.Lease("s"); !l.Valid() || n.fleet.Lane("s") == nil {
+		t.Error("the service isn't kept, though no other process can take it")
+	}
+	await(t, "end of the process", ended, testGrace)
 	if !s.released(t, "s") {
 		t.Error("the process ends and has not released its service")
 	}
