caller: a Terminate right after a request doesn't discard its answer

Callers that sent a request and Terminate in one write saw the connection end without an answer, although the request had run. This happened at any time, not only around SIGTERM.

If Terminate was read together with the request, there is no further read, and the session ended with the answer still buffered.

Now ReadBatch also sends the output when it finds Terminate. The other ends of a session write a fatal error, which sends it.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -74,6 +74,8 @@
 			return nil, readError(err)
 		}
 		if _, ok := m.(*pgproto3.Terminate); ok {
+			// It may have been read together with the batch before, whose answer the caller may still read.
+			_ = c.Flush()
 			return nil, errors.Trace(ErrTerminated)
 		}
 		if b.handle(m) {
