netopt: nothing is delivered to a caller that has reset its connection

A caller that resets its connection while an answer is being written kept the connection open for 2 s more, the whole time of AwaitDelivery. A shutdown waits for such a connection.

Cause: after a reset, the kernel still counts the bytes that were not acknowledged (TIOCOUTQ), although they can't be sent any more. CallerConn.Close asks it unless a read has failed; here it was the write.

Now AwaitDelivery ends once poll reports POLLHUP: the connection is closed in both directions, so that nothing is sent any more.

--- a/netopt/delivery.go
+++ b/netopt/delivery.go
@@ -11,8 +11,8 @@
 // deliveryPollInterval is the interval at which AwaitDelivery looks at the socket.
 const deliveryPollInterval = 2 * time.Millisecond
 
-// AwaitDelivery waits until the other side has received all that was written to the connection, or the timeout has passed. It
-// returns at once if the connection doesn't give access to its socket.
+// AwaitDelivery waits until the other side has received all that was written to the connection, the connection has failed, or the
+// timeout has passed. It returns at once if the connection doesn't give access to its socket.
 //
 // It is called before a connection is closed on which the other side may still send: a connection that is closed with unread
 // bytes, or gets some later, is reset, which discards what the other side has not received.
@@ -30,10 +30,14 @@
 	}
 }
 
-// unacknowledged returns how many written bytes the other side has not acknowledged, or zero if the socket doesn't tell.
+// unacknowledged returns how many written bytes the other side has not acknowledged and may still receive, or zero if the socket
+// doesn't tell.
 func unacknowledged(raw syscall.RawConn) int {
 	n := 0
 	err := raw.Control(func(fd uintptr) {
+		if hungUp(fd) {
+			return
+		}
 		if queued, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
 			n = queued
 		}
@@ -43,3 +47,12 @@
 	}
 	return n
 }
+
+// hungUp reports whether nothing can be sent or received any more. The kernel goes on counting the bytes of such a connection.
+func hungUp(fd uintptr) bool {
+	fds := []unix.PollFd{{
+		Fd: int32(fd),
+	}}
+	_, err := unix.Poll(fds, 0)
+	return err == nil && fds[0].Revents&unix.POLLHUP != 0
+}
