egretlane: a process that stops keeps a short grace period

A process with a shutdown grace of 1 s or 2 s ran for 2.2 s after SIGTERM, so that the platform had to kill it.

Cause: the shutdown waited for the whole unreadyDelay, and for idle sessions, whatever the grace period was.

Now the first wait takes half of the grace period at most, and the second one no more than is left.

--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -12,7 +12,7 @@
 
 const (
 	// unreadyDelay is how long the platform may still send new connections after the process has become not ready:
-	// two readiness checks, a second apart, and a margin.
+	// two readiness checks, a second apart, and a margin. The shutdown waits for it during half of the grace period at most.
 	unreadyDelay = 2200 * time.Millisecond
 
 	// idleDrainTimeout is how long the shutdown waits for sessions to be idle for front.MinIdleTime before it also ends
@@ -53,16 +53,16 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go n.handOver(ctx, start.Add(grace-exitReserve-answerReserve-front.LastStatementTime))
-	time.Sleep(unreadyDelay - time.Since(start))
-	n.front.Drain(front.MinIdleTime, idleDrainTimeout)
+	time.Sleep(min(unreadyDelay, grace/2) - time.Since(start))
+	end := start.Add(grace - exitReserve)
+	n.front.Drain(front.MinIdleTime, min(idleDrainTimeout, time.Until(end)))
 	// Callers that still connect are refused from now on and connect to another process. Running statements get their
 	// answers.
 	closeListener(callers)
 	n.front.RefuseNew()
-	left := n.front.Drain(0, grace-exitReserve-time.Since(start))
+	left := n.front.Drain(0, time.Until(end))
 	n.front.LogUnanswered()
 	n.eventLog.Event("sessions-ended").Int("left", left).Dur("elapsed", time.Since(start)).Msg("sessions ended")
-	end := start.Add(grace - exitReserve)
 	held := n.awaitReleases(end)
 	n.eventLog.Event("services-released").Int("left", held).Dur("elapsed", time.Since(start)).Msg("services released")
 	left = n.awaitPeers(end)
--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -357,6 +357,16 @@
 
 func (s *stuckStream) Close() {}
 
+// TestShutdownKeepsShortGrace guards against processes that are killed, since a short grace period is over before they have waited
+// for the platform to see that they are not ready.
+func TestShutdownKeepsShortGrace(t *testing.T) {
+	t.Parallel()
+	const grace = time.Second
+	n := newTestNode(newTestStore())
+	n.settings.ShutdownGrace = config.Duration(grace)
+	await(t, "end of the process", startShutDown(t, n, listen(t)), grace)
+}
+
 // TestShutdownUsesTheGracePeriod guards against a process that ends while statements are still being answered, although most of
 // the time between their end and that of the grace period is left.
 func TestShutdownUsesTheGracePeriod(t *testing.T) {
