egretlane: the grace period counts from the arrival of the signal

Cause: the time at which a signal came isn't known when it is noticed. The process checks itself each 0.25 s; the delay of the last check, or of one that is overdue, bounds how long ago the signal may have come. The grace period is shortened by it, by half at most.

TestShutdownCountsDelayOfSignal failed before ("no end of the process within 4s") and passes.

--- a/egretlane/node.go
+++ b/egretlane/node.go
@@ -58,6 +58,11 @@
 	// shuttingDown is true while the process shuts down. isolated is true while more than half of the services are out
 	// of its reach, so that other processes serve callers better.
 	shuttingDown, isolated atomic.Bool
+
+	// checkedAt is the clock.Time of the last check of the isolation, or zero. lastDelay is the last time in which such checks
+	// were late, or nil.
+	checkedAt atomic.Int64
+	lastDelay atomic.Pointer[processorDelay]
 }
 
 // newNode returns a node that is ready to run.
--- a/egretlane/shutdown.go
+++ b/egretlane/shutdown.go
@@ -45,9 +45,12 @@
 // no lease is held and the statements of other processes are answered, or when the grace period is nearly over.
 func (n *node) shutDown(callers net.Listener) {
 	start := time.Now()
+	// The grace period counts from the arrival of the signal.
 	grace := time.Duration(n.settings.ShutdownGrace)
+	delay := min(n.signalDelay(), grace/2)
+	grace -= delay
 	n.shuttingDown.Store(true)
-	n.eventLog.Event("process-leaving").Int("services", len(n.fleet.Lanes())).Msg("process is shutting down")
+	n.eventLog.Event("process-leaving").Int("services", len(n.fleet.Lanes())).Dur("delay", delay).Msg("process is shutting down")
 	n.front.EndAt(clock.Now().Add(grace - exitReserve - answerReserve))
 	n.fleet.Leave()
 	ctx, stop := context.WithCancel(context.Background())
--- a/egretlane/shutdown_test.go
+++ b/egretlane/shutdown_test.go
@@ -363,26 +363,16 @@
 
 func (s *stuckStream) Close() {}
 
-// TestShutdownKeepsShortGrace guards against processes that are killed, since a short grace period is over before they have waited
-// for the platform to see that they are not ready.
-func TestShutdownKeepsShortGrace(t *testing.T) {
-	t.Parallel()
-	const grace = time.Second
-	n := newTestNode(newTestStore())
-	n.settings.ShutdownGrace = config.Duration(grace)
-	await(t, "end of the process", startShutDown(t, n, listen(t)), grace)
-}
-
-// TestShutdownUsesTheGracePeriod guards against a process that ends while statements are still being answered, although most of
-// the time between their end and that of the grace period is left.
-func TestShutdownUsesTheGracePeriod(t *testing.T) {
-	t.Parallel()
-	n := newTestNode(newTestStore())
-	runFleet(t, n)
-	stream := &stuckStream{
+func newStuckStream() *stuckStream {
+	return &stuckStream{
 		started: make(chan struct{}),
 		answer:  make(chan struct{}),
 	}
+}
+
+// serveStuck serves the callers of a node, and returns one whose statement runs until the stream answers.
+func serveStuck(t *testing.T, n *node, stream *stuckStream, callers net.Listener) *testCaller {
+	t.Helper()
 	n.front.NewStream = func() egret.Stream { return stream }
 	n.front.Tables = func() *egret.Tables {
 		return &egret.Tables{
@@ -395,7 +385,6 @@
 			}},
 		}
 	}
-	callers := listen(t)
 	go func() { _ = n.front.Serve(t.Context(), callers) }()
 	s := sessionServer{
 		address: callers.Addr().String(),
@@ -407,6 +396,28 @@
 	}
 	c.send("QUERY 1 READ a\r\n")
 	<-stream.started
+	return c
+}
+
+// TestShutdownKeepsShortGrace guards against processes that are killed, since a short grace period is over before they have waited
+// for the platform to see that they are not ready.
+func TestShutdownKeepsShortGrace(t *testing.T) {
+	t.Parallel()
+	const grace = time.Second
+	n := newTestNode(newTestStore())
+	n.settings.ShutdownGrace = config.Duration(grace)
+	await(t, "end of the process", startShutDown(t, n, listen(t)), grace)
+}
+
+// TestShutdownUsesTheGracePeriod guards against a process that ends while statements are still being answered, although most of
+// the time between their end and that of the grace period is left.
+func TestShutdownUsesTheGracePeriod(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(newTestStore())
+	runFleet(t, n)
+	stream := newStuckStream()
+	callers := listen(t)
+	c := serveStuck(t, n, stream, callers)
 	began := time.Now()
 	ended := startShutDown(t, n, callers)
 	select {
@@ -627,3 +638,18 @@
 	go func() { _ = lane.Run(t.Context()) }()
 	return lane
 }
+
+// TestShutdownCountsDelayOfSignal guards against a process that is killed with statements outstanding, since it lacked processor
+// time when SIGTERM came and counts the grace period from when it noticed the signal.
+func TestShutdownCountsDelayOfSignal(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(newTestStore())
+	runFleet(t, n)
+	stream := newStuckStream()
+	defer close(stream.answer)
+	callers := listen(t)
+	serveStuck(t, n, stream, callers)
+	const delay = time.Second
+	n.logDelay(delay)
+	await(t, "end of the process", startShutDown(t, n, callers), testGrace-delay)
+}
