--- a/egretlab/soak/proxy.go
+++ b/egretlab/soak/proxy.go
@@ -75,9 +75,6 @@
 	stopRequested time.Time
 	probeFailures int
 
-	// killed has, by the time of its first SIGTERM, the processes that were killed as they had not exited within their grace.
-	killed map[time.Time]bool
-
 	// lastStopRequested is like stopRequested, but stays after the process was restarted.
 	lastStopRequested time.Time
 
@@ -138,9 +135,6 @@
 	err = cmd.Wait()
 	p.mu.Lock()
 	status, _ := cmd.ProcessState.Sys().(syscall.WaitStatus)
-	if status.Signaled() && status.Signal() == syscall.SIGKILL && !p.stopRequested.IsZero() {
-		p.killed[p.stopRequested] = true
-	}
 	// A process can't handle signals before it has started.
 	expected := p.exitExpected || status.Signaled() && status.Signal() == syscall.SIGHUP && time.Since(p.startedAt) < startDuration
 	p.exitedCPUTime += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
@@ -240,20 +234,6 @@
 	}
 }
 
-// wasKilled reports whether the process that was first sent a SIGTERM at the time was killed, as it had not exited within its
-// grace.
-func (p *proxy) wasKilled(stopped time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.killed[stopped]
-}
-
-// logHas reports whether the log contains the text.
-func (p *proxy) logHas(text string) (bool, error) {
-	data, err := os.ReadFile(p.logFile())
-	return strings.Contains(string(data), text), errors.Trace(err)
-}
-
 // crashLines returns the lines of the log that report a panic, a fatal error or a data race.
 func (p *proxy) crashLines() []string {
 	data, err := os.ReadFile(p.logFile())
--- a/egretlab/soak/setup.go
+++ b/egretlab/soak/setup.go
@@ -152,7 +152,6 @@
 		program:   s.Program,
 		folder:    s.Folder,
 		logRate:   s.LogRate,
-		killed:    map[time.Time]bool{},
 		onUnexpectedExit: func(detail string) {
 			s.ledger.RecordViolation("FAULT", detail)
 		},
--- a/egretlab/soak/soak.go
+++ b/egretlab/soak/soak.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -307,16 +310,17 @@
 	}
 }
 
-// checkCandidates records those statements that their proxy has read. A proxy logs each statement that it has read and doesn't
-// answer, unless it is killed.
+// checkCandidates records those statements that their proxy may have read. A proxy logs each statement that it has read and
+// doesn't answer; where its log may lack such lines, the statement counts as read.
 func (s *Soak) checkCandidates() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.candidates {
-		switch read, err := c.proxy.logHas(`"statement-unanswered","request":"` + c.id + `"`); {
+		log, err := os.ReadFile(c.proxy.logFile())
+		switch {
 		case err != nil:
 			s.ledger.RecordViolation("SOAK", err.Error())
-		case read || c.proxy.wasKilled(c.stopped):
+		case strings.Contains(string(log), `"statement-unanswered","request":"`+c.id+`"`), !completeLog(string(log), c.stopped):
 			s.ledger.RecordViolation("LOST", c.detail)
 		default:
 			s.logf("never read: %s", c.detail)
@@ -324,6 +328,33 @@
 	}
 }
 
+// completeLog reports whether a proxy's log has all lines about unanswered statements of the process that was first sent a
+// SIGTERM at the time: the process has logged its end, which comes after them, and dropped no lines. A zero time stands for a
+// process that wasn't stopped.
+func completeLog(log string, stopped time.Time) bool {
+	ended := stopped.IsZero()
+	for text := range strings.Lines(log) {
+		line := struct {
+			Time         time.Time
+			Event, Cause string
+		}{}
+		if json.Unmarshal([]byte(text), &line) != nil {
+			continue
+		}
+		switch {
+		case line.Event == "lines-dropped" && line.Cause == "statement-unanswered":
+			return false
+		case line.Time.Before(stopped):
+		case line.Event == "process-started" && !stopped.IsZero():
+			// It is the successor.
+			return ended
+		case line.Event == "process-stopped":
+			ended = true
+		}
+	}
+	return ended
+}
+
 // faultFreeSince reports whether no fault has been active since a time.
 func (s *Soak) faultFreeSince(since time.Time) bool {
 	s.mu.Lock()
--- a/link/stream.go
+++ b/link/stream.go
@@ -69,8 +69,8 @@
 	defer check.Stop()
 	stop := context.AfterFunc(ctx, s.cancel)
 	defer stop()
+	// Send fails only if the message was not passed to the transport. The cause is returned by Recv.
 	sendErr := s.stream.Send(m)
-	// If Send fails, Recv returns the cause.
 	reply, err := s.stream.Recv()
 	switch {
 	case sendErr != nil && w.InTransaction:
