front: log when a session's route leads to another service

Neither logs nor metrics told whether a stale read of review/7 reached the holder of its service with the position of the session's commit: served statements are sampled, and none of their fields says what the holder was told.

session-service-changed is logged once for each change, with the commit that reads of the session on the service have to see. Its rate is limited like that of each event.

--- a/front/session.go
+++ b/front/session.go
@@ -439,8 +439,10 @@
 // newRequest returns the statement with the parameters that the holder of its service needs.
 func (s *session) newRequest(q *egret.Query, r *egret.Route) egret.StatementRequest {
 	if s.service != r.Pool {
+		former := s.service
 		s.service = r.Pool
 		s.lastCommit, s.lastCommitTerm = egret.Position{}, 0
+		s.logServiceChange(q, former)
 	}
 	req := egret.StatementRequest{
 		Service:        r.Pool,
@@ -476,6 +478,17 @@
 	return req
 }
 
+// logServiceChange logs that the statement runs on another service than the session's statement before, with the commit that
+// reads on this service have to see.
+func (s *session) logServiceChange(q *egret.Query, former string) {
+	if former == "" {
+		return
+	}
+	s.server.EventLog.Event("session-service-changed").Str("request", q.ID).Str("database", s.database).Str("former", former).
+		Str("service", s.service).Str("last-commit", s.lastCommit.String()).Uint64("last-commit-term", s.lastCommitTerm).
+		Msg("the route of the session leads to another service")
+}
+
 func (s *session) transactionIdleTimeout() time.Duration {
 	if t := s.server.Tables(); t != nil && t.TransactionIdleTimeout > 0 {
 		return t.TransactionIdleTimeout
