front: a session keeps its newest commit on each service

Cause: a session had one position, of its last commit on the service of the last statement. The first statement on another service dropped it, and nothing restored it when the route came back. The holder then computed the floor from the staleness of the route alone, 2.5 s here, in which replicas may lack the commit.

Fix: floor.SessionCommits has the newest commit for each service on which the session has committed, and each statement carries that of its own service. A position is only comparable with those of its own log, so no other commit may be sent in its place. A read gets the floor that it would have had if the route had never changed, no more: it is neither refused nor sent to the primary where a replica has applied the session's commit.

--- a/front/session.go
+++ b/front/session.go
@@ -12,6 +12,7 @@
 
 	"egretlane.example/egret"
 	"egretlane.example/egret/clock"
+	"egretlane.example/egret/floor"
 	"egretlane.example/egret/spans"
 )
 
@@ -62,11 +63,11 @@
 	// stateBytes is the size of values and prepared.
 	stateBytes int
 
-	// lastCommit is the log position of the session's last commit on the service, in the leadership term
-	// lastCommitTerm.
-	lastCommit     egret.Position
-	lastCommitTerm uint64
-	service        string
+	// commits are the session's own commits, which its reads have to see.
+	commits floor.SessionCommits
+
+	// service is that of the last statement that was forwarded, or empty.
+	service string
 
 	// status is the transaction status that the caller was told last.
 	status egret.TxStatus
@@ -438,11 +439,10 @@
 
 // newRequest returns the statement with the parameters that the holder of its service needs.
 func (s *session) newRequest(q *egret.Query, r *egret.Route) egret.StatementRequest {
+	last := s.commits.Newest(r.Pool)
 	if s.service != r.Pool {
-		former := s.service
+		s.logServiceChange(q, r.Pool, last)
 		s.service = r.Pool
-		s.lastCommit, s.lastCommitTerm = egret.Position{}, 0
-		s.logServiceChange(q, former)
 	}
 	req := egret.StatementRequest{
 		Service:        r.Pool,
@@ -457,8 +457,8 @@
 		InTransaction:  s.status == egret.TxOpen && s.pendingBegin == egret.VerbInvalid,
 		Consistency:    r.Consistency,
 		MaxStaleness:   r.MaxAge,
-		LastCommit:     s.lastCommit,
-		LastCommitTerm: s.lastCommitTerm,
+		LastCommit:     last.Position,
+		LastCommitTerm: last.Term,
 		Timeout:        r.Budget,
 		LatencyTarget:  r.LatencyTarget,
 		Priority:       r.Priority,
@@ -478,14 +478,14 @@
 	return req
 }
 
-// logServiceChange logs that the statement runs on another service than the session's statement before, with the commit that
-// reads on this service have to see.
-func (s *session) logServiceChange(q *egret.Query, former string) {
-	if former == "" {
+// logServiceChange logs that the statement runs on another service than the session's statement before. last is the commit
+// that reads on the new service have to see.
+func (s *session) logServiceChange(q *egret.Query, service string, last floor.SessionCommit) {
+	if s.service == "" {
 		return
 	}
-	s.server.EventLog.Event("session-service-changed").Str("request", q.ID).Str("database", s.database).Str("former", former).
-		Str("service", s.service).Str("last-commit", s.lastCommit.String()).Uint64("last-commit-term", s.lastCommitTerm).
+	s.server.EventLog.Event("session-service-changed").Str("request", q.ID).Str("database", s.database).Str("former", s.service).
+		Str("service", service).Str("last-commit", last.Position.String()).Uint64("last-commit-term", last.Term).
 		Msg("the route of the session leads to another service")
 }
 
@@ -500,7 +500,10 @@
 func (s *session) updateState(q *egret.Query, req *egret.StatementRequest, a *egret.Answer) {
 	inside := s.status == egret.TxOpen
 	if a.Fault.Kind == egret.FaultNone && req.Writes && (!inside || q.Verb == egret.VerbCommit) {
-		s.lastCommit, s.lastCommitTerm = a.Position, a.Term
+		s.commits.Record(req.Service, floor.SessionCommit{
+			Position: a.Position,
+			Term:     a.Term,
+		})
 	}
 	switch {
 	case inside && q.Verb == egret.VerbCommit:
