group: a prepared statement runs the definition of its own caller

Cause: a statement's name on a member's connection was the XXH64 hash of its definition, and a connection that had the name was taken to have the definition. XXH64 can be inverted, so that a caller can choose a definition with the hash of another one, and callers share connections.

The definitions themselves aren't kept, so that a connection's memory doesn't depend on their length. No name is given twice on a connection, also after a reset. No statement is prepared more often than before.

--- a/group/conn.go
+++ b/group/conn.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"egretlane.example/egret"
@@ -16,9 +14,6 @@
 )
 
 const (
-	// maxPreparedStatements is how many prepared statements a connection keeps before it is reset.
-	maxPreparedStatements = 64
-
 	// checkDelayStep is the delay between the first two checks of an unreachable member. Each further failed check adds
 	// it again, up to maxCheckDelay.
 	checkDelayStep = 100 * time.Millisecond
@@ -68,8 +63,8 @@
 	// dirty is set if the session values or prepared statements on the member may differ from values and prepared.
 	dirty bool
 
-	// prepared holds the names of the statements that are prepared on the connection.
-	prepared map[string]struct{}
+	// prepared are the statements that are prepared on the connection.
+	prepared preparedStatements
 }
 
 // purpose says which connection a statement or a command needs.
@@ -187,7 +182,6 @@
 		backend:   bc,
 		member:    m,
 		workspace: workspace,
-		prepared:  map[string]struct{}{},
 	}, nil
 }
 
@@ -251,18 +245,30 @@
 	}
 }
 
+// statementCommands returns the commands that set the connection up for the statement, and the one that runs it on a member whose
+// log has reached the floor. It updates the connection's state as if they had run.
+func (c *conn) statementCommands(w *egret.StatementRequest, inTransaction bool, floor egret.Position) []egret.Command {
+	commands, name := c.setupCommands(w, inTransaction)
+	return append(commands, egret.Command{
+		Kind:  egret.CommandStatement,
+		Query: w.Query,
+		Name:  name,
+		Floor: floor,
+	})
+}
+
 // setupCommands returns the commands that have to run on the connection before the statement, and updates the
-// connection's state as if they had run. Inside a transaction, values are only added: a reset would drop the
-// statements that the transaction has prepared.
-func (c *conn) setupCommands(w *egret.StatementRequest, inTransaction bool) []egret.Command {
+// connection's state as if they had run. If the statement executes a prepared one, it also returns the name of that on the
+// connection. Inside a transaction, values are only added: a reset would drop the statements that the transaction has prepared.
+func (c *conn) setupCommands(w *egret.StatementRequest, inTransaction bool) ([]egret.Command, string) {
 	commands := []egret.Command{}
-	if !inTransaction && (c.dirty || !covers(w.Values, c.values) || len(c.prepared) > maxPreparedStatements) {
+	if !inTransaction && (c.dirty || !covers(w.Values, c.values) || c.prepared.len() > maxPreparedStatements) {
 		commands = append(commands, egret.Command{
 			Kind: egret.CommandReset,
 		})
 		c.values = nil
 		c.dirty = false
-		clear(c.prepared)
+		c.prepared.clear()
 	}
 	for _, v := range w.Values {
 		if slices.Contains(c.values, v) {
@@ -277,22 +283,22 @@
 		c.dirty = c.dirty || inTransaction
 	}
 	c.values = slices.Clone(w.Values)
-	if w.Query.Verb == egret.VerbExecute {
-		name := preparedName(w.Prepared)
-		if _, found := c.prepared[name]; !found {
-			commands = append(commands, egret.Command{
-				Kind:     egret.CommandPrepare,
-				Name:     name,
-				Argument: w.Prepared.Text,
-				Writes:   w.Prepared.Writes,
-			})
-			if inTransaction {
-				c.dirty = true
-			}
-			c.prepared[name] = struct{}{}
-		}
+	if w.Query.Verb != egret.VerbExecute {
+		return commands, ""
 	}
-	return commands
+	key := keyOf(w.Prepared)
+	name := c.prepared.name(key)
+	if name == "" {
+		name = c.prepared.add(key)
+		commands = append(commands, egret.Command{
+			Kind:     egret.CommandPrepare,
+			Name:     name,
+			Argument: w.Prepared.Text,
+			Writes:   w.Prepared.Writes,
+		})
+		c.dirty = c.dirty || inTransaction
+	}
+	return commands, name
 }
 
 // covers reports whether want has a value for each name in have.
@@ -305,29 +311,6 @@
 	return true
 }
 
-// preparedName returns the statement's name on the member. It is derived from the definition, so that callers that
-// prepare the same statement share it on a connection.
-func preparedName(p egret.PreparedStatement) string {
-	prefix := "r"
-	if p.Writes {
-		prefix = "w"
-	}
-	return prefix + strconv.FormatUint(xxhash.Sum64String(p.Text), 36)
-}
-
-// statementCommand returns the command that runs the statement on a member.
-func statementCommand(w *egret.StatementRequest, floor egret.Position) egret.Command {
-	c := egret.Command{
-		Kind:  egret.CommandStatement,
-		Query: w.Query,
-		Floor: floor,
-	}
-	if w.Query.Verb == egret.VerbExecute {
-		c.Name = preparedName(w.Prepared)
-	}
-	return c
-}
-
 // checkSlowStatements starts a check of each member with a statement that has run for longer than
 // statementCheckDelay. The caller holds mu.
 func (l *Lane) checkSlowStatements(now clock.Time) {
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -74,6 +74,12 @@
 
 	// workspaces are those of the connections that the statements ran on.
 	workspaces []string
+
+	// shapes are the definitions of the prepared statements that ran, by the ID of the query.
+	shapes map[string]egret.PreparedStatement
+
+	// maxPrepared is the maximum number of prepared statements on a connection so far.
+	maxPrepared int
 }
 
 // newFakeService returns a service with the primary "a" and the replicas "b" and "c".
@@ -88,6 +94,7 @@
 			role:     egret.RoleReplica,
 			term:     1,
 			position: egret.Position{Term: 1, Offset: 10},
+			shapes:   map[string]egret.PreparedStatement{},
 		}
 	}
 	s.members["a"].role = egret.RolePrimary
@@ -155,8 +162,9 @@
 	m.connections++
 	m.dials++
 	return &fakeBackendConn{
-		member:  m,
-		started: m.position,
+		member:   m,
+		started:  m.position,
+		prepared: map[string]egret.PreparedStatement{},
 		// Each handshake is faster than the one before, so that each connection updates the member's round-trip time.
 		roundTrip: time.Millisecond - time.Duration(m.dials)*time.Microsecond,
 	}, m.connectTime, nil
@@ -217,6 +225,9 @@
 	open      bool
 	wrote     bool
 	closed    bool
+
+	// prepared has the prepared statements by the names that the lane has given them.
+	prepared map[string]egret.PreparedStatement
 }
 
 func (c *fakeBackendConn) InitialPosition() egret.Position { return c.started }
@@ -293,7 +304,22 @@
 		c.open, c.wrote = false, false
 	case egret.CommandDemote:
 		m.role = egret.RoleReplica
+	case egret.CommandReset:
+		clear(c.prepared)
+	case egret.CommandPrepare:
+		c.prepared[k.Name] = egret.PreparedStatement{
+			Text:   k.Argument,
+			Writes: k.Writes,
+		}
+		m.maxPrepared = max(m.maxPrepared, len(c.prepared))
 	case egret.CommandStatement:
+		if k.Query.Verb == egret.VerbExecute {
+			shape, found := c.prepared[k.Name]
+			if !found {
+				return c.fault(egret.FaultNoStatement), nil
+			}
+			m.shapes[k.Query.ID] = shape
+		}
 		m.statements = append(m.statements, k.Query.Text)
 		m.floors = append(m.floors, k.Floor)
 		m.workspaces = append(m.workspaces, c.workspace)
--- a/group/stream.go
+++ b/group/stream.go
@@ -278,7 +278,7 @@
 	floor := l.refreshedFloor(m, it, w)
 	deadline := l.attemptDeadline(m, it, n)
 	sent, usage := l.usageOf(m)
-	commands := append(c.setupCommands(w, false), statementCommand(w, floor))
+	commands := c.statementCommands(w, false, floor)
 	answers, err := c.backend.Exchange(time.Now().Add(deadline.Sub(sent)), commands)
 	elapsed := clock.Since(sent)
 	load := l.loadSince(m, sent, usage)
--- a/group/transact.go
+++ b/group/transact.go
@@ -62,8 +62,8 @@
 	}
 	deadline := l.attemptDeadline(m, it, n)
 	sent, usage := l.usageOf(m)
-	commands := append(c.setupCommands(w, false), begin)
-	answers, err := c.backend.Exchange(time.Now().Add(deadline.Sub(sent)), commands)
+	setup, _ := c.setupCommands(w, false)
+	answers, err := c.backend.Exchange(time.Now().Add(deadline.Sub(sent)), append(setup, begin))
 	if err != nil {
 		l.handleExchangeError(c, w, sent, err)
 		l.excludeMember(it, m)
@@ -121,7 +121,7 @@
 	}
 	commit := w.Query.Verb == egret.VerbCommit
 	sent, usage := l.usageOf(c.member)
-	commands := append(c.setupCommands(w, true), statementCommand(w, egret.Position{}))
+	commands := c.statementCommands(w, true, egret.Position{})
 	l.setSent(c, sent)
 	answers, err := c.backend.Exchange(time.Now().Add(it.Deadline.Sub(sent)), commands)
 	elapsed := clock.Since(sent)
