group: a transaction has a bounded number of prepared statements

What callers could do: prepare, execute and close definitions without end in one transaction. The connection can't be reset before the transaction ends, so that the process and the member kept each of them, the member with its text of up to 1 MiB.

Cause: the limit of 64 statements on a connection was only applied by a reset outside of transactions.

TestPreparedStatementsOfATransactionAreLimited fails before, with 192 statements of 192 definitions on one connection.

Fix: within a transaction, the statements are closed once there are more than 64, and prepared again when they are executed. Below the limit nothing changes. CLOSE is one of the statements that members take.

--- a/backend.go
+++ b/backend.go
@@ -29,6 +29,9 @@
 	// CommandPrepare defines a prepared statement on the connection.
 	CommandPrepare
 
+	// CommandClose deletes a prepared statement of the connection.
+	CommandClose
+
 	// CommandReset clears the session values and the prepared statements of the connection.
 	CommandReset
 
--- a/group/conn.go
+++ b/group/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -289,6 +290,10 @@
 	key := keyOf(w.Prepared)
 	name := c.prepared.name(key)
 	if name == "" {
+		if c.prepared.len() > maxPreparedStatements {
+			// The transaction keeps the connection from being reset.
+			commands = append(commands, c.closeStatements()...)
+		}
 		name = c.prepared.add(key)
 		commands = append(commands, egret.Command{
 			Kind:     egret.CommandPrepare,
@@ -301,6 +306,19 @@
 	return commands, name
 }
 
+// closeStatements returns the commands that close all prepared statements of the connection.
+func (c *conn) closeStatements() []egret.Command {
+	commands := []egret.Command{}
+	for _, name := range slices.Sorted(maps.Values(c.prepared.names)) {
+		commands = append(commands, egret.Command{
+			Kind: egret.CommandClose,
+			Name: name,
+		})
+	}
+	c.prepared.clear()
+	return commands
+}
+
 // covers reports whether want has a value for each name in have.
 func covers(want, have []egret.SessionValue) bool {
 	for _, h := range have {
--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -304,6 +304,8 @@
 		c.open, c.wrote = false, false
 	case egret.CommandDemote:
 		m.role = egret.RoleReplica
+	case egret.CommandClose:
+		delete(c.prepared, k.Name)
 	case egret.CommandReset:
 		clear(c.prepared)
 	case egret.CommandPrepare:
--- a/group/prepared.go
+++ b/group/prepared.go
@@ -7,7 +7,8 @@
 	"egretlane.example/egret"
 )
 
-// maxPreparedStatements is how many prepared statements a connection keeps before it is reset.
+// maxPreparedStatements is how many prepared statements a connection keeps before it is reset, or, within a transaction, before all
+// of them are closed.
 const maxPreparedStatements = 64
 
 // definitionKey identifies the definition of a prepared statement. Callers choose the definitions and share the connections, so the
--- a/group/prepared_test.go
+++ b/group/prepared_test.go
@@ -129,3 +129,26 @@
 		t.Fatalf("commit: %+v", a)
 	}
 }
+
+// TestPreparedStatementsOfATransactionAreLimited guards against a member and a proxy whose memory grows with each definition that one
+// transaction executes: the connection can't be reset before the transaction ends.
+func TestPreparedStatementsOfATransactionAreLimited(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	inTransaction(t, s, l, func(stream *Stream) {
+		for i := range 4 * maxPreparedStatements {
+			w := execute(strconv.Itoa(i), egret.PreparedStatement{
+				Text: "q" + strconv.Itoa(i%(3*maxPreparedStatements)),
+			})
+			w.InTransaction = true
+			expectDefinition(t, s, stream, w)
+		}
+	})
+	s.member("a", func(m *fakeMember) {
+		if m.maxPrepared > maxPreparedStatements+1 {
+			t.Errorf("%d statements prepared on a connection, want at most %d", m.maxPrepared, maxPreparedStatements+1)
+		}
+	})
+}
