group: a read that lagging replicas refuse is served by the primary

Cause: all eight attempts of the read went to the two replicas by turns. A member may wait for the floor before it refuses a read, 50 ms here. The lane expected a lag of 8 to 64 ms after the first refusals, so that the one replica counted as current again each time before the other had answered.

Evidence: member-refused in the holder's log, eight lines for the read, four of each replica, 51 ms each, with the floor 1/1 and the position 1/0.

Fix: the last attempt of a read needs the primary if a replica has just refused the read for its lag. Other attempts are as before, so that only reads that would have been refused take the primary.

--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -38,6 +38,9 @@
 	// workTime is how long a statement runs, connectTime how long opening a connection takes.
 	workTime, connectTime time.Duration
 
+	// floorWait is how long the member waits for a floor that its log lacks before it refuses the statement.
+	floorWait time.Duration
+
 	// replicationPaused stops a replica from receiving commits.
 	replicationPaused bool
 
@@ -285,6 +288,12 @@
 	if m.down || m.unresponsive || c.closed {
 		return egret.Answer{}, errDown
 	}
+	if !k.Floor.IsZero() && !m.position.Reaches(k.Floor) {
+		wait := m.floorWait
+		s.mu.Unlock()
+		time.Sleep(wait)
+		s.mu.Lock()
+	}
 	if !k.Floor.IsZero() && !m.position.Reaches(k.Floor) {
 		return c.fault(egret.FaultLagging), nil
 	}
--- a/group/floor_test.go
+++ b/group/floor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"egretlane.example/egret"
 )
@@ -48,3 +49,39 @@
 		}
 	}
 }
+
+// TestReadThatReplicasLackIsServedByThePrimary guards against a read that is refused because both replicas lag, although the primary
+// is idle. Members that wait for the floor before they refuse a read take longer than the lane expects a lag to last.
+func TestReadThatReplicasLackIsServedByThePrimary(t *testing.T) {
+	for name, begin := range map[string]egret.Verb{
+		"single":      egret.VerbInvalid,
+		"transaction": egret.VerbBeginRead,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeService()
+			l, _ := startLane(t, s)
+			l.SetMembers(s.backends())
+			awaitPrimary(t, l)
+			for _, id := range []string{"b", "c"} {
+				s.member(id, func(m *fakeMember) {
+					m.replicationPaused = true
+					m.floorWait = 50 * time.Millisecond
+				})
+			}
+			committed := l.Stream().Do(context.Background(), write("1"))
+			if committed.Fault.Kind != egret.FaultNone {
+				t.Fatalf("write: %+v", committed)
+			}
+			w := read("2")
+			w.Begin = begin
+			w.Consistency = egret.ConsistencySession
+			w.MaxStaleness = time.Minute
+			w.LastCommit, w.LastCommitTerm = committed.Position, committed.Term
+			stream := l.Stream()
+			defer stream.Close()
+			if a := stream.Do(context.Background(), w); a.Fault.Kind != egret.FaultNone || a.Member != "a" {
+				t.Errorf("answer %+v, want one of the primary", a)
+			}
+		})
+	}
+}
--- a/group/stream.go
+++ b/group/stream.go
@@ -119,6 +119,7 @@
 	it := s.lane.newItem(w, arrived, needOf(w))
 	last := busyFault("no member ran the statement")
 	for attempt := range maxAttempts {
+		prepareAttempt(it, last, attempt)
 		c, fault := s.lane.acquireConn(ctx, it, w)
 		if fault.Kind != egret.FaultNone {
 			if attempt == 0 {
@@ -135,6 +136,14 @@
 	return s.lane.refusedAnswer(w, last, last, arrived)
 }
 
+// prepareAttempt requires the primary for the last attempt of a read that a replica has just refused for its lag. attempt counts the
+// attempts before.
+func prepareAttempt(it *sched.Item, last egret.Fault, attempt int) {
+	if attempt == maxAttempts-1 && last.Kind == egret.FaultLagging {
+		it.Need, it.Excluded = sched.NeedPrimary, nil
+	}
+}
+
 // meter counts an operation against the quota of its workspace. It returns a fault if the operation must not run. One that
 // this process can't take is not counted, as it is sent again.
 func (l *Lane) meter(w *egret.StatementRequest) egret.Fault {
