caller: names and types of prepared statements count as memory

What callers could do: make a PostgreSQL proxy keep memory without end, by prepared statements with short texts and long names, many parameter types, or in great number; or by one batch that defines or closes statements with long names.

Cause: only the texts were counted, against 4 MiB in a session and against the memory for messages. In a batch each definition was compared with what the session had before the batch. The names are replaced in the messages for the lane, so that the limit of a batch didn't bound them either.

The tests fail before: 1,048 statements with names of 8,000 bytes, 1,048 with 2,000 types, 32,768 without either, and batches of 1,048 definitions or closes of such names are accepted.

Fix: names, parameter types and 256 bytes for each statement count as memory, and are limited to 4 MiB in a session and in a batch. The limit of 4 MiB of texts is as before, but counts what the batch itself adds and closes. Up to 16,000 statements with short names fit.

Tests: TestNamesAndTypesOfPreparedStatementsAreBounded, TestNamesInABatchAreBounded.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -16,9 +16,6 @@
 // nameHashBytes is the length of the part of a statement's hash that goes into its name.
 const nameHashBytes = 16
 
-// maxPreparedBytes limits the total size of the texts of a session's prepared statements.
-const maxPreparedBytes = 4 << 20
-
 // codeOutOfMemory is SQLSTATE out_of_memory.
 const codeOutOfMemory = "53200"
 
@@ -67,7 +64,7 @@
 // If the proxy is shutting down already, the output stays buffered until it is known whether the caller has sent ahead:
 // otherwise a caller that sends its next batch as soon as it has an answer would keep the session open.
 func (c *Conn) ReadBatch(inTransaction bool, idleDeadline time.Time) (*IncomingBatch, error) {
-	c.memory.endBatch(c.preparedBytes)
+	c.memory.endBatch(c.preparedSize.total())
 	c.reader.beginWait(inTransaction, idleDeadline)
 	b := batchBuilder{
 		conn: c,
@@ -120,23 +117,10 @@
 			return
 		}
 		parseCompletes--
-		c.removePrepared(p.name)
-		c.prepared[p.name] = *p.statement
-		c.preparedBytes += len(p.statement.Query)
+		c.setPrepared(p.name, *p.statement)
 	}
 }
 
-func (c *Conn) removePrepared(name string) {
-	c.preparedBytes -= len(c.prepared[name].Query)
-	delete(c.prepared, name)
-}
-
-// ClearPrepared removes all prepared statements of the session.
-func (c *Conn) ClearPrepared() {
-	clear(c.prepared)
-	c.preparedBytes = 0
-}
-
 // batchBuilder assembles a batch from messages.
 type batchBuilder struct {
 	// conn has the prepared statements and the limits of the session.
@@ -152,6 +136,12 @@
 	// or describes. A simple query counts as bound.
 	boundQueries, parsedQueries []string
 
+	// change is the difference that the batch makes to the size of the session's prepared statements.
+	change preparedSize
+
+	// entries is the size of the names and parameter types of the statements that the batch defines and closes.
+	entries int
+
 	// unnamedParsed reports whether the batch has a Parse of the unnamed statement.
 	unnamedParsed bool
 }
@@ -205,12 +195,7 @@
 		b.refuse("42P05", "prepared statement \""+m.Name+"\" already exists")
 		return
 	}
-	if b.conn.preparedBytes+len(m.Query) > maxPreparedBytes {
-		b.refuse(codeConfigurationLimit, "the session's prepared statements are over the limit of "+strconv.Itoa(maxPreparedBytes)+" bytes: close some")
-		return
-	}
-	if !b.conn.memory.takePrepared(len(m.Query)) {
-		b.refuse(codeOutOfMemory, "the proxy has no memory for further prepared statements at present")
+	if !b.reservePrepared(m.Name, s) {
 		return
 	}
 	b.recordParse(m.Name, s)
@@ -222,6 +207,10 @@
 // recordParse makes a statement known to the rest of the batch, and later to the session if the database accepts it.
 func (b *batchBuilder) recordParse(name string, s egret.NamedStatement) {
 	b.parsedQueries = append(b.parsedQueries, s.Query)
+	if former, found := b.find(name); found {
+		b.change = b.change.minus(preparedSizeOf(name, former))
+	}
+	b.change = b.change.plus(preparedSizeOf(name, s))
 	b.in.changes = append(b.in.changes, preparedChange{
 		name:      name,
 		statement: &s,
@@ -257,6 +246,12 @@
 // stands at the right place among the answers.
 func (b *batchBuilder) close(m *pgproto3.Close) {
 	if m.ObjectType == 'S' {
+		if !b.reserve(preparedSizeOf(m.Name, egret.NamedStatement{})) {
+			return
+		}
+		if former, found := b.find(m.Name); found {
+			b.change = b.change.minus(preparedSizeOf(m.Name, former))
+		}
 		b.in.changes = append(b.in.changes, preparedChange{
 			name: m.Name,
 		})
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -78,9 +78,8 @@
 	// accepted it.
 	prepared map[string]egret.NamedStatement
 
-	// preparedBytes is the total size of the texts in prepared. A named statement is refused if it would raise the size
-	// above maxPreparedBytes.
-	preparedBytes int
+	// preparedSize is the size of prepared. A named statement is refused if it would raise the size above the limits.
+	preparedSize preparedSize
 }
 
 func newConn(n net.Conn, maxBatchBytes int) *Conn {
