link: definitions of prepared statements take memory at the holder

What callers could do: prepare a statement of up to 1 MiB, and execute it with short statements on many sessions. Each carries the definition to the holder of the service, where it took no memory of the budget.

Cause: the size of a statement from another proxy was that of its text and of the session's values. The definition that EXECUTE refers to is neither.

Fix: the definition counts. As for other long statements, there is no wait: without memory the answer says that nothing ran.

--- a/link/server.go
+++ b/link/server.go
@@ -176,7 +176,7 @@
 
 // workBytes returns the size of the texts in a statement.
 func workBytes(m *linkpb.Work) int {
-	size := len(m.GetText())
+	size := len(m.GetText()) + len(m.GetShape())
 	for _, v := range m.GetValues() {
 		size += len(v.GetValue())
 	}
