token: a session can connect again with its own token

What callers saw: a session of the PostgreSQL proxy that has used some 300 groups or more gets a token with which it can't connect: "the start-up message is broken: a length of 30617 bytes" with 1,001 groups.

Cause: a token had all groups in which the session has a floor. A start-up packet has at most 10,000 bytes, as in PostgreSQL, and tokens over 64 KiB were not even accepted.

TestTokenOfManyGroupsOpensASession fails before with the message above.

Fix: a token has at most 8 KiB, with the groups whose floor was raised last. A session on another proxy looks up the confirmed position of each group before its first read there, token or not, so that it sees all acknowledged writes. Tokens up to 64 KiB are still accepted.

Tests: TestTokenOfManyGroupsOpensASession (entry), TestTokenIsLimited (token).

--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"egretlane.example/egret"
+	"egretlane.example/egret/caller"
 )
 
 func freeAddress(t testing.TB) netip.AddrPort {
@@ -200,7 +202,7 @@
 		Term:   1,
 		Offset: 5,
 	})
-	c := tp.connect(t, tp.handler.Signer.Sign("workshop", "catalogo-db", &old))
+	c := tp.connect(t, tp.handler.Signer.Sign("workshop", "catalogo-db", old.Positions()))
 	if err := exec(c, "SELECT 1"); err != nil {
 		t.Fatal(err)
 	}
@@ -209,6 +211,41 @@
 	}
 }
 
+// TestTokenOfManyGroupsOpensASession guards against a session that can't connect again with its own token: a start-up packet is limited
+// to 10,000 bytes. The token has to keep the groups that the session has used last.
+func TestTokenOfManyGroupsOpensASession(t *testing.T) {
+	tp := startProxy(t, func(int, egret.TransactionOptions) (egret.BatchResult, error) {
+		return completed(egret.TxIdle, 60)
+	})
+	s := &session{
+		handler:  tp.handler,
+		raisedAt: map[string]time.Time{},
+		conn: &caller.Conn{
+			Startup: caller.Startup{
+				User:     "workshop",
+				Database: "catalogo-db",
+			},
+		},
+	}
+	for i := range 1000 {
+		s.raiseFloor(fmt.Sprintf("catalogo-%d", i), egret.Position{
+			Term:   7,
+			Offset: uint64(1000 + i),
+		})
+	}
+	s.raiseFloor("g", egret.Position{
+		Term:   1,
+		Offset: 75,
+	})
+	c := tp.connect(t, s.token())
+	if err := exec(c, "SELECT 1"); err != nil {
+		t.Fatal(err)
+	}
+	if got := tp.lanes.allAttempts()[0].Floor.Offset; got != 75 {
+		t.Errorf("floor %d, want that of the token, 75", got)
+	}
+}
+
 func TestReadAtThePrimaryLeavesTheFloorAlone(t *testing.T) {
 	tp := startProxy(t, func(_ int, o egret.TransactionOptions) (egret.BatchResult, error) {
 		if o.Member != "m1" {
--- a/entry/local.go
+++ b/entry/local.go
@@ -89,7 +89,7 @@
 func (s *session) parameterValue(name string) string {
 	switch name {
 	case caller.TokenParameter:
-		return s.handler.Signer.Sign(s.conn.Startup.User, s.conn.Startup.Database, &s.floor)
+		return s.token()
 	case memberParameter:
 		return s.sentParameters.member
 	case positionParameter:
--- a/entry/session.go
+++ b/entry/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -234,13 +235,23 @@
 
 // sendToken sends the session's token if the session has a floor and the caller doesn't have this token yet.
 func (s *session) sendToken() {
-	token := s.handler.Signer.Sign(s.conn.Startup.User, s.conn.Startup.Database, &s.floor)
-	if len(s.floor.Positions()) > 0 && token != s.sentParameters.token {
+	token := s.token()
+	if s.floor.Len() > 0 && token != s.sentParameters.token {
 		s.sentParameters.token = token
 		s.conn.WriteParameter(caller.TokenParameter, token)
 	}
 }
 
+// token returns the session's token. If it can't have all groups, it has those whose floor was raised last. The others lose nothing that
+// was acknowledged: the first read of a session in a group looks up its confirmed position.
+func (s *session) token() string {
+	positions := s.floor.Positions()
+	slices.SortStableFunc(positions, func(a, b egret.GroupPosition) int {
+		return s.raisedAt[b.Group].Compare(s.raisedAt[a.Group])
+	})
+	return s.handler.Signer.Sign(s.conn.Startup.User, s.conn.Startup.Database, positions)
+}
+
 // sendMember sends the name and the log position of the member that served the request, if they have changed.
 func (s *session) sendMember(member string, p egret.Position) {
 	if member != s.sentParameters.member {
--- a/position.go
+++ b/position.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// Len returns the number of groups in which the session has a position.
+func (f *Floor) Len() int {
+	return len(f.positions)
+}
+
 // Positions returns a copy of the positions, ordered by group.
 func (f *Floor) Positions() []GroupPosition {
 	return slices.Clone(f.positions)
--- a/token/token.go
+++ b/token/token.go
@@ -8,7 +8,7 @@
 //	s := token.Signer{
 //		Keys: keys,
 //	}
-//	text := s.Sign("workshop", "catalogo-db", &floor)
+//	text := s.Sign("workshop", "catalogo-db", floor.Positions())
 //	floor, err := s.Verify("workshop", "catalogo-db", text)
 package token
 
@@ -20,6 +20,7 @@
 	"strings"
 
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"egretlane.example/egret"
@@ -33,11 +34,18 @@
 	// minKeyBytes is the minimum length of a key.
 	minKeyBytes = 16
 
-	// maxTokenBytes is the maximum length of an encoded token. Longer ones are rejected without
+	// maxSignedBytes is the maximum length of a token that is made. PostgreSQL limits the start-up packet in which a caller sends
+	// it, with its other parameters, to 10,000 bytes.
+	maxSignedBytes = 8 << 10
+
+	// maxTokenBytes is the maximum length of an encoded token that is verified. Longer ones are rejected without
 	// decoding.
 	maxTokenBytes = 64 << 10
 )
 
+// marksField is the number of Token's field of positions.
+const marksField = 1
+
 // ErrInvalid reports that this system has not made the token for the caller and the database.
 const ErrInvalid = errors.ConstError("the token was not made for this caller and database")
 
@@ -48,17 +56,23 @@
 	Keys [][]byte
 }
 
-// Sign returns a token with the floor.
-func (s *Signer) Sign(caller, database string, f *egret.Floor) string {
+// Sign returns a token with the positions, the most important first. Those that don't fit into a token are left out.
+func (s *Signer) Sign(caller, database string, positions []egret.GroupPosition) string {
 	t := &lanepb.Token{}
-	for _, m := range f.Positions() {
-		t.Marks = append(t.Marks, &lanepb.Mark{
-			Group: m.Group,
+	remaining := base64.RawURLEncoding.DecodedLen(maxSignedBytes) - macBytes
+	for _, p := range positions {
+		m := &lanepb.Mark{
+			Group: p.Group,
 			Position: &lanepb.Position{
-				Term:   m.Position.Term,
-				Offset: m.Position.Offset,
+				Term:   p.Position.Term,
+				Offset: p.Position.Offset,
 			},
-		})
+		}
+		remaining -= protowire.SizeTag(marksField) + protowire.SizeBytes(proto.Size(m))
+		if remaining < 0 {
+			break
+		}
+		t.Marks = append(t.Marks, m)
 	}
 	payload, err := proto.Marshal(t)
 	if err != nil {
--- a/token/token_test.go
+++ b/token/token_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"egretlane.example/egret"
@@ -16,7 +17,7 @@
 		Term:   3,
 		Offset: 77,
 	})
-	text := s.Sign("workshop", "catalogo-db", &f)
+	text := s.Sign("workshop", "catalogo-db", f.Positions())
 	other := Signer{
 		Keys: [][]byte{[]byte("another-key-of-16b")},
 	}
@@ -50,3 +51,35 @@
 		}
 	}
 }
+
+// TestTokenIsLimited guards against tokens that are too long for a start-up packet. The first positions have to be in them.
+func TestTokenIsLimited(t *testing.T) {
+	s := Signer{
+		Keys: [][]byte{[]byte("0123456789abcdef")},
+	}
+	positions := []egret.GroupPosition{}
+	for i := range 2000 {
+		positions = append(positions, egret.GroupPosition{
+			Group: fmt.Sprintf("catalogo-%d", i),
+			Position: egret.Position{
+				Term:   1 << 40,
+				Offset: uint64(i) << 20,
+			},
+		})
+	}
+	for _, n := range []int{0, 1, 150, 200, 201, 202, 203, 204, 205, 2000} {
+		text := s.Sign("workshop", "catalogo-db", positions[:n])
+		f, err := s.Verify("workshop", "catalogo-db", text)
+		if err != nil || len(text) > maxSignedBytes {
+			t.Fatalf("%d groups: a token of %d bytes, %v", n, len(text), err)
+		}
+		if f.Len() < min(n, 200) {
+			t.Errorf("%d groups: %d are in the token, want at least 200 of them", n, f.Len())
+		}
+		for _, p := range positions[:f.Len()] {
+			if f.At(p.Group) != p.Position {
+				t.Fatalf("%d groups: %s at %v, want %v", n, p.Group, f.At(p.Group), p.Position)
+			}
+		}
+	}
+}
