group: a connection that lacks its prepared statements is reset

What callers would see: NOSTMT for a statement that they have prepared, on each further execution of its definition on the connection.

Cause: after a member has reported a prepared statement as unknown, the connection went back to the idle ones, and the lane still took the statement for prepared there. The attempts of one statement may all use the same connection.

No run has shown a member that forgets a statement while its connection lasts, other than by RESET; the fault is suspected there, and shown by TestConnectionWithoutItsStatementsIsReset, which fails before.

Fix: the connection counts as in an unknown state, so that it is reset before its next statement.

--- a/group/fake_test.go
+++ b/group/fake_test.go
@@ -81,6 +81,9 @@
 	// shapes are the definitions of the prepared statements that ran, by the ID of the query.
 	shapes map[string]egret.PreparedStatement
 
+	// conns are the connections to the member, also closed ones.
+	conns []*fakeBackendConn
+
 	// maxPrepared is the maximum number of prepared statements on a connection so far.
 	maxPrepared int
 }
@@ -164,13 +167,22 @@
 	}
 	m.connections++
 	m.dials++
-	return &fakeBackendConn{
+	c := &fakeBackendConn{
 		member:   m,
 		started:  m.position,
 		prepared: map[string]egret.PreparedStatement{},
 		// Each handshake is faster than the one before, so that each connection updates the member's round-trip time.
 		roundTrip: time.Millisecond - time.Duration(m.dials)*time.Microsecond,
-	}, m.connectTime, nil
+	}
+	m.conns = append(m.conns, c)
+	return c, m.connectTime, nil
+}
+
+// forgetPrepared makes the member forget the prepared statements of all its connections. The caller holds the service's mu.
+func (m *fakeMember) forgetPrepared() {
+	for _, c := range m.conns {
+		clear(c.prepared)
+	}
 }
 
 func (s *fakeService) Reachable(_ context.Context, b egret.Backend) error {
--- a/group/prepared_test.go
+++ b/group/prepared_test.go
@@ -152,3 +152,23 @@
 		}
 	})
 }
+
+// TestConnectionWithoutItsStatementsIsReset guards against a connection that is used on after its member has reported a prepared
+// statement as unknown, so that each further statement with that definition fails.
+func TestConnectionWithoutItsStatementsIsReset(t *testing.T) {
+	s := newFakeService()
+	l, _ := startLane(t, s)
+	l.SetMembers(s.backends())
+	awaitPrimary(t, l)
+	w := execute("1", egret.PreparedStatement{
+		Text: "q2c",
+	})
+	expectDefinition(t, s, l.Stream(), w)
+	s.mu.Lock()
+	for _, m := range s.members {
+		m.forgetPrepared()
+	}
+	s.mu.Unlock()
+	w.Query.ID = "2"
+	expectDefinition(t, s, l.Stream(), w)
+}
--- a/group/stream.go
+++ b/group/stream.go
@@ -343,6 +343,9 @@
 	}
 	l.noteAnswer(m, a.Position)
 	if a.Fault.Kind != egret.FaultNone {
+		if a.Fault.Kind == egret.FaultNoStatement {
+			c.dirty = true
+		}
 		l.limitAfterFault(m, a.Fault.Kind, load)
 		l.EventLog.Event("member-refused").Str("request", w.Query.ID).Str("service", l.Service).Str("member", m.id).
 			Str("fault", a.Fault.Kind.String()).Str("floor", it.Floor.String()).Str("position", a.Position.String()).
