caller: a test for names like those on members

A caller may give its statement the name that another statement has on members. It stands for the caller's own text: the name is only a key in the session, and the messages for the lane have the name that the text has.

--- a/caller/prepared_test.go
+++ b/caller/prepared_test.go
@@ -78,3 +78,27 @@
 		})
 	}
 }
+
+// TestNameLikeThatOfAnotherStatement guards against a caller that reaches another caller's statement by its name on members: also a
+// name of that form stands for the text that its caller has prepared.
+func TestNameLikeThatOfAnotherStatement(t *testing.T) {
+	ts := startServer(t, nil)
+	_, f := ts.login()
+	other := newStatement(parse("", "SELECT 1"))
+	if code := exchange(t, f, bind(other.Name), executeMessage, syncMessage); code != "26000" {
+		t.Errorf("SQLSTATE %q for a statement that the session has not prepared, want 26000", code)
+	}
+	own := newStatement(parse("", "SELECT 2"))
+	if code := exchange(t, f, parse(other.Name, "SELECT 2"), bind(other.Name), executeMessage, syncMessage); code != "" {
+		t.Fatalf("SQLSTATE %q", code)
+	}
+	ts.handler.mu.Lock()
+	defer ts.handler.mu.Unlock()
+	batch := ts.handler.batches[len(ts.handler.batches)-1].Batch
+	if s := batch.Statements; len(s) != 1 || s[0].Name != own.Name || s[0].Query != "SELECT 2" {
+		t.Errorf("definitions %+v, want that of the caller's text", s)
+	}
+	if strings.Contains(string(batch.Messages), other.Name) {
+		t.Errorf("the messages have the caller's name: %q", batch.Messages)
+	}
+}
