group: the digest of a long definition is computed in parts

A statement takes memory for three times its size, and the copy is in none of them.

Change: definitions over 4 KiB are hashed in parts. TestKeyOfLongDefinitions checks that parts don't change what a digest depends on.

--- a/group/prepared.go
+++ b/group/prepared.go
@@ -18,11 +18,28 @@
 	writes bool
 }
 
+// chunkBytes is the size of the parts of a definition that are copied to compute its digest. A copy of the whole could take as much
+// memory as a message.
+const chunkBytes = 4 << 10
+
 func keyOf(p egret.PreparedStatement) definitionKey {
-	return definitionKey{
-		text:   sha256.Sum256([]byte(p.Text)),
+	k := definitionKey{
 		writes: p.Writes,
 	}
+	if len(p.Text) <= chunkBytes {
+		k.text = sha256.Sum256([]byte(p.Text))
+		return k
+	}
+	h := sha256.New()
+	chunk := make([]byte, chunkBytes)
+	for rest := p.Text; rest != ""; {
+		n := copy(chunk, rest)
+		// A hash never returns an error.
+		_, _ = h.Write(chunk[:n])
+		rest = rest[n:]
+	}
+	h.Sum(k.text[:0])
+	return k
 }
 
 // preparedStatements are the statements that are prepared on a connection to a member. Callers that have prepared the same
--- a/group/prepared_test.go
+++ b/group/prepared_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"bytes"
 	"context"
 	"strconv"
 	"testing"
@@ -172,3 +173,21 @@
 	w.Query.ID = "2"
 	expectDefinition(t, s, l.Stream(), w)
 }
+
+// TestKeyOfLongDefinitions guards against long definitions that differ in one byte, or in length, and have the same key.
+func TestKeyOfLongDefinitions(t *testing.T) {
+	keys := map[definitionKey]int{}
+	for _, size := range []int{chunkBytes - 1, chunkBytes, chunkBytes + 1, 2 * chunkBytes, 2*chunkBytes + 1} {
+		text := bytes.Repeat([]byte("q"), size)
+		for _, i := range []int{0, size / 2, size - 1} {
+			text[i] = 'x'
+			keys[keyOf(egret.PreparedStatement{
+				Text: string(text),
+			})]++
+			text[i] = 'q'
+		}
+	}
+	if len(keys) != 15 {
+		t.Errorf("%d keys for 15 definitions", len(keys))
+	}
+}
