group, entry: clearer names and comments

No change of behaviour: the function that sends a read's last attempt to the primary is named for what it does, and the comments of maxAttempts and of a session's token say what holds now.

--- a/entry/session.go
+++ b/entry/session.go
@@ -242,8 +242,8 @@
 	}
 }
 
-// token returns the session's token. If it can't have all groups, it has those whose floor was raised last. The others lose nothing that
-// was acknowledged: the first read of a session in a group looks up its confirmed position.
+// token returns the session's token. If not all groups fit into it, it has those whose floor was raised last. Reads see all
+// acknowledged writes in the others too, as the first read of a session in a group looks up its confirmed position.
 func (s *session) token() string {
 	positions := s.floor.Positions()
 	slices.SortStableFunc(positions, func(a, b egret.GroupPosition) int {
--- a/group/stream.go
+++ b/group/stream.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxAttempts bounds how often one statement is sent to a member. Replicas that lag refuse it within a round trip,
-	// so a few attempts cost little.
+	// so a few attempts cost little. Those that wait for the floor take longer; the last attempt needs none of them.
 	maxAttempts = 8
 
 	// slowReadFactor is how many times longer than expected a read may take before it is sent to another member.
@@ -119,7 +119,7 @@
 	it := s.lane.newItem(w, arrived, needOf(w))
 	last := busyFault("no member ran the statement")
 	for attempt := range maxAttempts {
-		prepareAttempt(it, last, attempt)
+		requirePrimaryAtLast(it, last, attempt)
 		c, fault := s.lane.acquireConn(ctx, it, w)
 		if fault.Kind != egret.FaultNone {
 			if attempt == 0 {
@@ -136,9 +136,9 @@
 	return s.lane.refusedAnswer(w, last, last, arrived)
 }
 
-// prepareAttempt requires the primary for the last attempt of a read that a replica has just refused for its lag. attempt counts the
-// attempts before.
-func prepareAttempt(it *sched.Item, last egret.Fault, attempt int) {
+// requirePrimaryAtLast makes the last attempt of a read go to the primary if a replica has just refused the read for its lag. attempt
+// counts the attempts before.
+func requirePrimaryAtLast(it *sched.Item, last egret.Fault, attempt int) {
 	if attempt == maxAttempts-1 && last.Kind == egret.FaultLagging {
 		it.Need, it.Excluded = sched.NeedPrimary, nil
 	}
--- a/group/transact.go
+++ b/group/transact.go
@@ -19,7 +19,7 @@
 	it := s.lane.newItem(w, arrived, needOf(w))
 	last := busyFault("no member opened the transaction")
 	for attempt := range maxAttempts {
-		prepareAttempt(it, last, attempt)
+		requirePrimaryAtLast(it, last, attempt)
 		c, fault := s.lane.acquireConn(ctx, it, w)
 		if fault.Kind != egret.FaultNone {
 			if attempt == 0 {
