--- a/caller/memory.go
+++ b/caller/memory.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// takePrepared takes the memory for the text of a prepared statement, or returns false.
+// takePrepared takes memory for a prepared statement, or returns false.
 func (m *memory) takePrepared(n int) bool {
 	if !m.account.TryTake(int64(n)) {
 		return false
--- a/caller/prepared.go
+++ b/caller/prepared.go
@@ -102,8 +102,8 @@
 	return b.reserve(size)
 }
 
-// reserve takes the memory for an entry of the batch, or refuses the batch. The names that callers have given are not part of the
-// messages for the lane, whose size is limited.
+// reserve reports whether the batch may have a further entry, and takes the memory for it; otherwise it refuses the batch. The names
+// that callers have given are not part of the messages for the lane, whose size is limited.
 func (b *batchBuilder) reserve(size preparedSize) bool {
 	if b.entries+size.entries > maxEntryBytes {
 		b.refuse(codeConfigurationLimit, "the names of the prepared statements in the batch are over the limit of "+strconv.Itoa(maxEntryBytes)+" bytes")
